Ask callers not to try elsewhere while three arrivals in ten are refused

It answers any storm of tries, whatever started it; it could harm where one app server alone is slow and the others have room.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -63,6 +63,8 @@
 	runs     []hist // run times, by method
 	served   []float64
 	asked    []float64
+	arrived  float64 // arrivals and refusals of late
+	refused  float64
 	decayed  float64
 	target   float64 // d_t
 	mark     float64
@@ -147,6 +149,7 @@
 	m.callers[from].heard = now
 	m.readWait, m.readAt = lay, now
 	m.asked[method]++
+	m.arrived++
 	m.move(i, held)
 	if float64(m.callers[from].out) >= m.credit {
 		m.full = true
@@ -228,7 +231,7 @@
 				least = j
 			}
 		}
-		m.refuse(least, false)
+		m.refuse(least, m.swamped())
 		over = false
 		if len(m.hold) == 0 {
 			return
@@ -236,6 +239,10 @@
 	}
 }
 
+// swamped tells whether so many are turned away that another app server would most likely do the same. Then
+// callers are asked not to go on through their lists: reading what comes straight back takes the cores.
+func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) }
+
 func (m *Module) value(i int) float64 {
 	// One in ten served is as low as a method's share is told apart; below that all are starved alike.
 	method := m.rpcs[i].method
@@ -359,6 +366,7 @@
 
 // refuse pushes back a held RPC that has not been started.
 func (m *Module) refuse(i int, last bool) {
+	m.refused++
 	m.forget(i)
 	m.do.PushBack(i, last, m.advice())
 	m.move(i, absent)
@@ -553,6 +561,7 @@
 	m.keys = slices.DeleteFunc(m.keys, func(end float64) bool { return end <= now })
 	if now-m.decayed > memorySpan {
 		m.decayed = now
+		m.arrived, m.refused = m.arrived/2, m.refused/2
 		for k := range m.runs {
 			m.runs[k].halve()
 			m.served[k] /= 2
