--- a/logic/logic.go
+++ b/logic/logic.go
@@ -107,7 +107,7 @@
 	if math.IsInf(tightest, 1) {
 		tightest = 1
 	}
-	m.target = tightest / 4 // d_t, the design's default
+	m.target = tightest / 6 // d_t, the design's default
 	m.mark = 2 * m.target   // the design's default
 	m.limit = float64(c.Machine.Cores)
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1))
