--- a/logic/logic.go
+++ b/logic/logic.go
@@ -107,7 +107,7 @@
 	if math.IsInf(tightest, 1) {
 		tightest = 1
 	}
-	m.target = tightest / 6 // d_t, the design's default
+	m.target = tightest / 6 // d_t; a quarter made the incidents worse, an eighth the overload days
 	m.mark = 2 * m.target   // the design's default
 	m.limit = float64(c.Machine.Cores)
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1))
@@ -570,7 +570,7 @@
 	}
 	m.sweep()
 	m.adjust(gauges)
-	if now-m.updated >= m.target/4 { // a quarter of d_t: several updates within the delay that is steered
+	if now-m.updated >= m.target { // a round trip is about as long as the delay that is steered
 		m.updated = now
 		m.update()
 	}
