Count RPCs stopped before their end into the run times

Cause: where running work can be stopped, only the quick ends were measured, so a slow spell was not seen by the judgement of what is hopeless.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -38,7 +38,7 @@
 	arrival, due, kb float64
 	key              float64 // until when its token is remembered, 0 if it is not
 	tries            int     // calls placed for the need in hand
-	dialed           float64
+	began            float64 // when it was started
 }
 
 // caller is one caller as this app server knows it.
@@ -301,6 +301,7 @@
 			m.calls(w.method) && off >= waitsPerCore*m.c.Machine.Cores:
 			k++
 		default:
+			w.began = m.now
 			m.do.Start(i)
 			m.move(i, running)
 		}
@@ -353,6 +354,8 @@
 // outcome, and could not be run again.
 func (m *Module) unwind(i int) {
 	w := &m.rpcs[i]
+	// It took at least so long: without this only the quick would be measured, and a slow spell not be seen.
+	m.runs[w.method].add(m.now - w.began)
 	switch {
 	case w.state == stalled || w.state == calling:
 		m.move(i, closing)
@@ -506,7 +509,6 @@
 			continue
 		}
 		w.tries++
-		w.dialed = m.now
 		m.do.Call(i, left)
 		m.move(i, calling)
 		out++
