Push back at once what is hopeless here but not elsewhere

Cause: a slowed app server held RPCs that it could not serve in time, answered late, and asked the caller not to go elsewhere when it gave up.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -160,7 +160,7 @@
 		m.move(i, following)
 	case m.leaving && w.arrival > m.noticed+m.c.Rules.Grace:
 		m.giveUp(i) // rule 3
-	case now > w.due-margin:
+	case now > w.due-margin, m.hopeless(w):
 		m.giveUp(i)
 	default:
 		m.remember(i)
@@ -327,8 +327,12 @@
 const margin = 2 * tick
 
 // hopeless tells whether a held RPC would come too late even if it were started now.
+// With idle cores it is tried all the same, so that the run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
-	return m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
+	if m.now > m.goodUntil(w) {
+		return true
+	}
+	return m.count[running]+m.count[adrift] >= m.c.Machine.Cores/2 && m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
 }
 
 // giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
@@ -336,7 +340,8 @@
 	w := &m.rpcs[i]
 	switch w.state {
 	case held:
-		m.refuse(i, true)
+		// Another app server may be quicker, unless most of the time is gone.
+		m.refuse(i, m.swamped() || m.now-w.arrival > m.c.Methods[w.method].Target/2)
 	case following:
 		m.do.Abort(i)
 		m.move(i, absent)
