--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,9 @@
 	kb       float64
 	keys     []float64 // ends of remembered tokens
 	callers  []caller
-	runs     []hist // run times, by method
+	runs     []hist // run times of late, by method
+	usual    []hist // run times over a longer span, by method
+	looks    int    // halvings of the former
 	served   []float64
 	asked    []float64
 	arrived  float64 // arrivals and refusals of late
@@ -96,7 +98,7 @@
 	c.Rules.Crowd = max(c.Rules.Crowd, 1)
 	m := &Module{do: do, c: c, now: now, started: now, updated: now, decayed: now}
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
-	m.runs = make([]hist, len(c.Methods))
+	m.runs, m.usual = make([]hist, len(c.Methods)), make([]hist, len(c.Methods))
 	m.served, m.asked = make([]float64, len(c.Methods)), make([]float64, len(c.Methods))
 	tightest := math.Inf(1)
 	for _, method := range c.Methods {
@@ -241,7 +243,29 @@
 
 // swamped tells whether so many are turned away that another app server would most likely do the same. Then
 // callers are asked not to go on through their lists: reading what comes straight back takes the cores.
-func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) }
+func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && !m.ailing() }
+
+// ailing tells whether work takes twice as long as it used to here. Overload alone does not do that, as the
+// cores are kept from being crowded; so the trouble is this app server's own and others may well have room.
+func (m *Module) ailing() bool {
+	late, usual := 0.0, 0.0
+	for k := range m.runs {
+		if r, u := m.runs[k].quantile(0.5), m.usual[k].quantile(0.5); r > 0 && u > 0 {
+			late += m.runs[k].sum * r
+			usual += m.runs[k].sum * u
+		}
+	}
+	return late > 2*usual
+}
+
+func (m *Module) timed(method int, took float64) {
+	m.runs[method].add(took)
+	m.usual[method].add(took)
+}
+
+// usualSpan is how many spans of what is measured of late make up what is usual: half a minute, longer than
+// most slow spells, so that they stand out.
+const usualSpan = 16
 
 func (m *Module) value(i int) float64 {
 	// One in ten served is as low as a method's share is told apart; below that all are starved alike.
@@ -360,7 +384,7 @@
 func (m *Module) unwind(i int) {
 	w := &m.rpcs[i]
 	// It took at least so long: without this only the quick would be measured, and a slow spell not be seen.
-	m.runs[w.method].add(m.now - w.began)
+	m.timed(w.method, m.now-w.began)
 	switch {
 	case w.state == stalled || w.state == calling:
 		m.move(i, closing)
@@ -455,7 +479,7 @@
 		return
 	}
 	if how == rpc.OK && w.state == running {
-		m.runs[w.method].add(took)
+		m.timed(w.method, took)
 		if now <= w.arrival+m.c.Methods[w.method].Target {
 			m.served[w.method]++
 		}
@@ -568,9 +592,13 @@
 	m.keys = slices.DeleteFunc(m.keys, func(end float64) bool { return end <= now })
 	if now-m.decayed > memorySpan {
 		m.decayed = now
+		m.looks++
 		m.arrived, m.refused = m.arrived/2, m.refused/2
 		for k := range m.runs {
 			m.runs[k].halve()
+			if m.looks%usualSpan == 0 {
+				m.usual[k].halve()
+			}
 			m.served[k] /= 2
 			m.asked[k] /= 2
 		}
