--- a/logic/logic.go
+++ b/logic/logic.go
@@ -45,12 +45,8 @@
 type caller struct {
 	heard float64 // when it last sent something
 	out   int     // its RPCs in hand here that are not answered
-	fates []fate  // by method
 }
 
-// fate is how old a caller's RPCs of one method were when it gave up on them, and when they were answered.
-type fate struct{ gone, kept hist }
-
 // Module decides for one app server.
 type Module struct {
 	do       rpc.Actions
@@ -137,7 +133,7 @@
 		m.rpcs = append(m.rpcs, work{})
 	}
 	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: -1, fates: make([]fate, len(m.c.Methods))})
+		m.callers = append(m.callers, caller{heard: -1})
 	}
 	if method >= len(m.c.Methods) { // nothing is known of it, so nothing may be run
 		m.do.PushBack(i, false, 0)
@@ -357,11 +353,10 @@
 // hopeless tells whether a held RPC would come too late even if it were started now.
 // With idle cores it is tried all the same, so that the run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
-	until := min(m.goodUntil(w), w.arrival+m.callers[w.caller].fates[w.method].waits())
-	if m.now > until {
+	if m.now > m.goodUntil(w) {
 		return true
 	}
-	return m.count[running]+m.count[adrift] >= m.c.Machine.Cores/2 && m.now+m.runs[w.method].quantile(0.5) > until
+	return m.count[running]+m.count[adrift] >= m.c.Machine.Cores/2 && m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
 }
 
 // giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
@@ -484,7 +479,6 @@
 		return
 	}
 	if how == rpc.OK && w.state == running {
-		m.callers[w.caller].fates[w.method].kept.add(now - w.arrival)
 		m.timed(w.method, took)
 		if now <= w.arrival+m.c.Methods[w.method].Target {
 			m.served[w.method]++
@@ -500,11 +494,7 @@
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
-	w := &m.rpcs[i]
-	if owed(w.state) > 0 {
-		m.callers[w.caller].fates[w.method].gone.add(now - w.arrival)
-	}
-	switch w.state {
+	switch m.rpcs[i].state {
 	case held:
 		m.forget(i)
 		m.move(i, absent)
@@ -604,12 +594,6 @@
 		m.decayed = now
 		m.looks++
 		m.arrived, m.refused = m.arrived/2, m.refused/2
-		for _, c := range m.callers {
-			for k := range c.fates {
-				c.fates[k].gone.halve()
-				c.fates[k].kept.halve()
-			}
-		}
 		for k := range m.runs {
 			m.runs[k].halve()
 			if m.looks%usualSpan == 0 {
@@ -727,37 +711,18 @@
 	}
 }
 
-// waits is how long the caller waits for the method as far as it shows: the usual age at which it gives up,
-// where hardly anything older is answered.
-func (f *fate) waits() float64 {
-	if f.gone.sum < 4 {
-		return math.Inf(1)
-	}
-	age := f.gone.quantile(0.5)
-	if f.kept.beyond(age) > f.gone.sum/2 {
-		return math.Inf(1)
-	}
-	return age
-}
-
-// hist counts times in a few coarse bins, each a third longer than the one before, from 20 ms to 8 s.
+// hist counts times in a few coarse bins, each half as long again as the one before, from 20 ms to 9 s.
 type hist struct {
-	bins [24]float64
+	bins [16]float64
 	sum  float64
 }
 
 func (h *hist) add(t float64) {
-	h.bins[bin(t)]++
+	k := int(math.Ceil(math.Log(max(t, 0.02)/0.02) / math.Log(1.5)))
+	h.bins[min(k, len(h.bins)-1)]++
 	h.sum++
 }
 
-func bin(t float64) int {
-	return min(int(math.Ceil(math.Log(max(t, 0.02)/0.02)/math.Log(widening))), len(hist{}.bins)-1)
-}
-
-// widening: bins a third wider each tell times apart well enough for a judgement by their middle.
-const widening = 1.3
-
 func (h *hist) halve() {
 	for k := range h.bins {
 		h.bins[k] /= 2
@@ -773,21 +738,12 @@
 	sum := 0.0
 	for k, n := range h.bins {
 		if sum += n; sum >= q*h.sum {
-			return 0.02 * math.Pow(widening, float64(k)-0.5)
+			return 0.02 * math.Pow(1.5, float64(k)-0.5)
 		}
 	}
 	return 0
 }
 
-// beyond counts the times in bins past the one that t is in.
-func (h *hist) beyond(t float64) float64 {
-	sum := 0.0
-	for _, n := range h.bins[bin(t)+1:] {
-		sum += n
-	}
-	return sum
-}
-
 // meter is the mean of a number over a span, in tenths of the span.
 type meter struct {
 	span, at, level float64
