--- a/logic/logic.go
+++ b/logic/logic.go
@@ -630,7 +630,11 @@
 	if d > m.target {
 		m.pool *= max(1-beta*(d-m.target)/m.target, 0.5)
 	} else if m.full {
-		m.pool += max(alpha*float64(heard), 1)
+		step := max(alpha*float64(heard), 1)
+		if len(m.hold) == 0 && m.onCores < idle*float64(m.c.Machine.Cores) {
+			step = max(step, float64(heard))
+		}
+		m.pool += step
 	}
 	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below that
 	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it 0.05 to 0.1.
@@ -639,6 +643,10 @@
 	m.publish()
 }
 
+// idle is the use of the cores under which a caller that is out of credit is the bottleneck. Then the step is a
+// whole credit for each caller: a hot caller stays capped otherwise, while the others' credits lie unused.
+const idle = 0.9
+
 // publish says the free credit, which goes out with every answer, in the terms of the site's signal.
 func (m *Module) publish() {
 	heard := 0
