--- a/logic/logic.go
+++ b/logic/logic.go
@@ -78,7 +78,7 @@
 	readAt   float64
 	refusing float64 // since when arrivals are refused without a break, 0 if they are not
 	limit    float64 // of RPCs on the cores
-	onCores  float64 // smoothed gauge
+	use      float64 // of the cores, of late
 	gauge    int     // where the gauge stands, -1 if there is none
 	lingers  []float64
 	meter    meter
@@ -97,7 +97,7 @@
 	}
 	c.Rules.Crowd = max(c.Rules.Crowd, 1)
 	m := &Module{do: do, c: c, now: now, started: now, updated: now, decayed: now}
-	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
+	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
 	m.runs, m.usual = make([]hist, len(c.Methods)), make([]hist, len(c.Methods))
 	m.served, m.asked = make([]float64, len(c.Methods)), make([]float64, len(c.Methods))
 	tightest := math.Inf(1)
@@ -631,7 +631,7 @@
 		m.pool *= max(1-beta*(d-m.target)/m.target, 0.5)
 	} else if m.full {
 		step := max(alpha*float64(heard), 1)
-		if len(m.hold) == 0 && m.onCores < idle*float64(m.c.Machine.Cores) {
+		if len(m.hold) == 0 && m.use < idle {
 			step = max(step, float64(heard))
 		}
 		m.pool += step
@@ -683,24 +683,23 @@
 	}
 }
 
-// adjust follows the cores: the limit grows while they idle and work waits, and shrinks while they are crowded.
+// adjust follows the cores: the limit grows while they idle and work waits, and shrinks while they do not idle at
+// all, which more RPCs on them would only slow.
 func (m *Module) adjust(gauges []float64) {
 	cores := float64(m.c.Machine.Cores)
-	seen := float64(m.count[running] + m.count[adrift])
+	m.use = min(float64(m.count[running]+m.count[adrift])/cores, 1)
 	if m.gauge >= 0 && m.gauge < len(gauges) {
-		seen = gauges[m.gauge]
+		m.use = gauges[m.gauge]
 	}
-	m.onCores += 0.1 * (seen - m.onCores) // over about ten looks, 0.2 s: shorter than a run
-	gap := cores*busy - m.onCores
-	if gap < 0 || len(m.hold) > 0 {
-		m.limit += gap * gain * tick
+	if m.use > busy || len(m.hold) > 0 {
+		m.limit += cores * (busy - m.use) * gain * tick
 	}
-	m.limit = min(max(m.limit, cores), m.survivable())
+	m.limit = min(max(m.limit, cores), 2*cores, m.survivable())
 }
 
-// busy is the crowd on a core that the limit aims at, a little over 1 so that a core never waits for a look.
-// gain is how much of the gap is closed in a second.
-const busy, gain = 1.05, 2.0
+// busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about.
+// gain is how many times the gap is added in a second, a few times the half second over which use is measured.
+const busy, gain = 0.97, 2
 
 // sweep answers what has run out of time.
 func (m *Module) sweep() {
