--- a/logic/logic.go
+++ b/logic/logic.go
@@ -216,10 +216,7 @@
 // criticality over what has lately been served of the method, so that no method starves; among equals it is
 // the one that has just come.
 func (m *Module) shed(i int) {
-	// Where the delay is all reading wait and cores wait for work, what has been read is worth more run than
-	// refused: reading what comes straight back is what takes the cores then.
-	over := m.delay() > m.mark && (len(m.hold) > 1 || float64(m.count[running]+m.count[adrift]+1) > m.limit ||
-		m.ailing())
+	over := m.delay() > m.mark
 	if over && m.refusing == 0 {
 		m.refusing = m.now
 	}
@@ -359,7 +356,7 @@
 	if m.now > m.goodUntil(w) {
 		return true
 	}
-	return m.count[running]+m.count[adrift] >= 1 && m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
+	return m.count[running]+m.count[adrift] >= m.c.Machine.Cores/2 && m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
 }
 
 // giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
