--- a/logic/logic.go
+++ b/logic/logic.go
@@ -82,6 +82,7 @@
 	gauge    int     // where the gauge stands, -1 if there is none
 	lingers  []float64
 	meter    meter
+	well     bool // what health checks are told
 	leaving  bool
 	noticed  float64
 	stop     float64
@@ -116,6 +117,7 @@
 	m.meter = meter{span: max(c.Machine.CallsSpan, 1), at: now}
 	m.meter.slot = int(now / m.meter.span * 10)
 	m.credit = -1 // nothing said yet
+	m.well = true
 	do.Health(true)
 	m.publish()
 	do.Wake(tick)
@@ -580,6 +582,7 @@
 	for i := range m.rpcs {
 		m.rpcs[i].due = min(m.rpcs[i].due, m.stop)
 	}
+	m.well = false
 	m.do.Health(false)
 	m.publish()
 	m.do.Log(fmt.Sprintf("leaving: %d held, %d started", len(m.hold), m.count[running]+m.count[stalled]+m.count[calling]))
@@ -640,6 +643,10 @@
 	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it 0.05 to 0.1.
 	m.pool = max(m.pool, 1.5*m.limit)
 	m.full = false
+	if well := !m.ailing() && !m.leaving; well != m.well {
+		m.well = well
+		m.do.Health(well)
+	}
 	m.publish()
 }
 
