--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,7 +9,9 @@
 package logic
 
 import (
+	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"math"
 	"slices"
 
@@ -53,6 +55,8 @@
 	c        rpc.Charter
 	now      float64
 	started  float64
+	seed     uint64
+	draws    uint64
 	rpcs     []work
 	count    [states]int
 	hold     []int // held RPCs, oldest first
@@ -82,14 +86,14 @@
 	gauge    int     // where the gauge stands, -1 if there is none
 	lingers  []float64
 	meter    meter
-	well     bool // what health checks are told
+	slow     bool // a slow spell has been seen, and maybe said
 	leaving  bool
 	noticed  float64
 	stop     float64
 }
 
 // New starts the module of an app server that has just come up.
-func New(now float64, _ uint64, c rpc.Charter, do rpc.Actions) *Module {
+func New(now float64, seed uint64, c rpc.Charter, do rpc.Actions) *Module {
 	// A charter that lacks a figure gets the mildest meaning that keeps the rules.
 	c.Machine.Cores = max(c.Machine.Cores, 1)
 	c.Machine.RunFactor = max(c.Machine.RunFactor, 1)
@@ -97,7 +101,7 @@
 		c.Machine.MemoryKB = math.Inf(1)
 	}
 	c.Rules.Crowd = max(c.Rules.Crowd, 1)
-	m := &Module{do: do, c: c, now: now, started: now, updated: now, decayed: now}
+	m := &Module{do: do, c: c, now: now, seed: seed, started: now, updated: now, decayed: now}
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
 	m.runs, m.usual = make([]hist, len(c.Methods)), make([]hist, len(c.Methods))
 	m.served, m.asked = make([]float64, len(c.Methods)), make([]float64, len(c.Methods))
@@ -117,7 +121,6 @@
 	m.meter = meter{span: max(c.Machine.CallsSpan, 1), at: now}
 	m.meter.slot = int(now / m.meter.span * 10)
 	m.credit = -1 // nothing said yet
-	m.well = true
 	do.Health(true)
 	m.publish()
 	do.Wake(tick)
@@ -249,7 +252,9 @@
 
 // ailing tells whether work takes twice as long as it used to here. Overload alone does not do that, as the
 // cores are kept from being crowded; so the trouble is this app server's own and others may well have room.
-func (m *Module) ailing() bool {
+func (m *Module) ailing() bool { return m.slowness() > 2 }
+
+func (m *Module) slowness() float64 {
 	late, usual := 0.0, 0.0
 	for k := range m.runs {
 		if r, u := m.runs[k].quantile(0.5), m.usual[k].quantile(0.5); r > 0 && u > 0 {
@@ -257,7 +262,7 @@
 			usual += m.runs[k].sum * u
 		}
 	}
-	return late > 2*usual
+	return late / max(usual, 1e-9)
 }
 
 func (m *Module) timed(method int, took float64) {
@@ -582,7 +587,6 @@
 	for i := range m.rpcs {
 		m.rpcs[i].due = min(m.rpcs[i].due, m.stop)
 	}
-	m.well = false
 	m.do.Health(false)
 	m.publish()
 	m.do.Log(fmt.Sprintf("leaving: %d held, %d started", len(m.hold), m.count[running]+m.count[stalled]+m.count[calling]))
@@ -643,13 +647,37 @@
 	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it 0.05 to 0.1.
 	m.pool = max(m.pool, 1.5*m.limit)
 	m.full = false
-	if well := !m.ailing() && !m.leaving; well != m.well {
-		m.well = well
-		m.do.Health(well)
-	}
+	m.checkHealth()
 	m.publish()
 }
 
+// checkHealth says so to health checks while work takes three times what is usual; at twice, overload days lose
+// by it. A fleet that is slow as a whole must not empty the list, so only every second app server speaks up, by
+// a draw for each spell. One that is avoided runs little, forgets its slow runs and is well again.
+func (m *Module) checkHealth() {
+	slow := m.slowness() > 3
+	if slow && !m.slow && !m.leaving && m.chance() < 0.5 {
+		m.do.Health(false)
+		m.do.Log(fmt.Sprintf("slow: work takes %.1f times the usual, health says so", m.slowness()))
+	}
+	if !slow && m.slow && !m.leaving {
+		m.do.Health(true)
+		m.do.Log("slow: over")
+	}
+	m.slow = slow
+}
+
+// chance draws a number from 0 to 1.
+func (m *Module) chance() float64 {
+	m.draws++
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], m.draws)
+	binary.BigEndian.PutUint64(b[8:], m.seed)
+	h := fnv.New64a()
+	h.Write(b[:])
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
 // idle is the use of the cores under which a caller that is out of credit is the bottleneck. Then the step is a
 // whole credit for each caller: a hot caller stays capped otherwise, while the others' credits lie unused.
 const idle = 0.9
