--- a/logic/logic.go
+++ b/logic/logic.go
@@ -132,7 +132,7 @@
 const tick = 0.02
 
 // Arrive takes note of an RPC that has been read. due is 0 where callers do not tell how long they wait.
-func (m *Module) Arrive(now float64, i, method, from int, lay, due, kb float64, repeats int, further bool) {
+func (m *Module) Arrive(now float64, i, method, from int, lay, due, kb float64, repeats int) {
 	m.now = now
 	for len(m.rpcs) <= i {
 		m.rpcs = append(m.rpcs, work{})
@@ -161,12 +161,19 @@
 	if float64(m.callers[from].out) >= m.credit {
 		m.full = true
 	}
+	pastGrace := m.leaving && w.arrival > m.noticed+m.c.Rules.Grace // rule 3: it is not run
 	switch {
+	case repeats != rpc.None && (pastGrace || now > w.due-margin):
+		m.do.Abort(i) // the RPC that it repeats may have been run, so this is no refusal
+		m.move(i, absent)
 	case repeats != rpc.None && !m.takeOver(i, repeats):
 		m.do.Follow(i)
 		m.move(i, following)
-	case m.leaving && w.arrival > m.noticed+m.c.Rules.Grace:
-		m.giveUp(i) // rule 3
+	case repeats != rpc.None:
+	case pastGrace, w.kb*m.c.Machine.RunFactor > m.room():
+		m.giveUp(i)
+	case m.c.Methods[method].Kind == rpc.Tokened && m.keyKB() > m.room()/2:
+		m.giveUp(i) // remembered tokens leave the other half for work
 	case now > w.due-margin, m.hopeless(w):
 		m.giveUp(i)
 	default:
@@ -294,7 +301,9 @@
 }
 
 // memory is what held and running RPCs and remembered tokens need.
-func (m *Module) memory() float64 { return m.kb + float64(len(m.keys))*m.c.Machine.EntryKB }
+func (m *Module) memory() float64 { return m.kb + m.keyKB() }
+
+func (m *Module) keyKB() float64 { return float64(len(m.keys)) * m.c.Machine.EntryKB }
 
 // room leaves a twentieth for what is rounded on the way here and for what else lives in the process.
 func (m *Module) room() float64 { return 0.95 * m.c.Machine.MemoryKB }
@@ -392,14 +401,17 @@
 	w := &m.rpcs[i]
 	// It took at least so long: without this only the quick would be measured, and a slow spell not be seen.
 	m.timed(w.method, m.now-w.began)
-	switch {
-	case w.state == stalled || w.state == calling:
+	if w.state == stalled || w.state == calling {
 		m.move(i, closing)
-	case m.c.Machine.Preemption == rpc.Unstoppable || m.c.Methods[w.method].Kind == rpc.Tokened:
-		m.move(i, adrift)
-	default:
+		return
+	}
+	m.halt(w, i)
+	m.move(i, adrift)
+}
+
+func (m *Module) halt(w *work, i int) {
+	if m.c.Machine.Preemption != rpc.Unstoppable && m.c.Methods[w.method].Kind != rpc.Tokened {
 		m.do.Stop(i)
-		m.move(i, adrift)
 	}
 }
 
@@ -738,9 +750,12 @@
 
 // sweep answers what has run out of time.
 func (m *Module) sweep() {
+	again := m.now-m.updated >= m.target
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
 		switch {
+		case w.state == adrift && again:
+			m.halt(w, i) // a stop has no effect while the cores stand still
 		case owed(w.state) == 0:
 		case m.now > w.due-margin:
 			m.giveUp(i)
