--- a/logic/logic.go
+++ b/logic/logic.go
@@ -24,87 +24,95 @@
 const (
 	absent    state = iota // not in hand
 	held                   // read, not started
+	following              // waits for the outcome of the RPC that it repeats
 	running                // started, an answer is owed
 	stalled                // started, off the cores until it may place its call
 	calling                // started, off the cores until its call ends
-	following              // waits for the outcome of the RPC that it repeats
 	adrift                 // no answer is owed any more, its work is still on the cores
 	closing                // no answer is owed any more, its call is being wound up
 	states
 )
 
+func (s state) owed() bool { return s >= held && s <= calling }
+
 // work is one RPC in hand.
 type work struct {
-	state            state
-	method, caller   int
-	arrival, due, kb float64
-	key              float64 // until when its token is remembered, 0 if it is not
-	tries            int     // calls placed for the need in hand
-	began            float64 // when it was started
+	state                   state
+	method, caller, tries   int // tries of the call in need
+	arrival, began, due, kb float64
+	key                     float64 // until when its token is remembered, 0 if it is not
 }
 
-// caller is one caller as this app server knows it.
+// caller is one caller as this app server knows it: when it last sent something, its unanswered RPCs here.
 type caller struct {
-	heard float64 // when it last sent something
-	out   int     // its RPCs in hand here that are not answered
+	heard float64
+	out   int
+}
+
+// record is what has been seen of a method: run times of late and over a longer span, arrivals and ok in
+// time.
+type record struct {
+	late, usual hist
+	asked, ok   float64
 }
 
 // Module decides for one app server.
 type Module struct {
-	do       rpc.Actions
-	c        rpc.Charter
-	now      float64
-	started  float64
-	seed     uint64
-	draws    uint64
-	rpcs     []work
-	count    [states]int
-	hold     []int // held RPCs, oldest first
-	waiting  []int // stalled RPCs, longest waiting first
-	kb       float64
-	keys     []float64 // ends of remembered tokens
-	callers  []caller
-	runs     []hist // run times of late, by method
-	usual    []hist // run times over a longer span, by method
-	looks    int    // halvings of the former
-	served   []float64
-	asked    []float64
-	arrived  float64 // arrivals and refusals of late
-	refused  float64
-	decayed  float64
-	target   float64 // d_t
-	mark     float64
-	pool     float64
-	credit   float64
-	full     bool // some caller had its full credit out since the last update
-	updated  float64
-	readWait float64 // reading wait of the last arrivals
-	readAt   float64
-	refusing float64 // since when arrivals are refused without a break, 0 if they are not
-	limit    float64 // of RPCs on the cores
-	use      float64 // of the cores, of late
-	gauge    int     // where the gauge stands, -1 if there is none
-	lingers  []float64
-	meter    meter
-	slow     bool // a slow spell has been seen, and maybe said
-	leaving  bool
-	noticed  float64
-	stop     float64
-}
-
-// New starts the module of an app server that has just come up.
+	rpc.Charter
+	do           rpc.Actions
+	seed, draws  uint64
+	now, started float64
+	rpcs         []work
+	count        [states]int
+	hold         []int // held RPCs, oldest first
+	waiting      []int // stalled RPCs, longest waiting first
+	kb           float64
+	keys         []float64 // ends of remembered tokens
+	callers      []caller
+	records      []record
+	looks        int // halvings of what is measured
+	halved       float64
+	arrived      float64 // arrivals and refusals of late
+	refused      float64
+	dt, mark     float64 // d_t, and the delay past which arrivals are refused
+	pool, credit float64
+	full         bool // some caller had its full credit out since the last update
+	updated      float64
+	readWait     float64 // of the last arrival, and when that was
+	readAt       float64
+	over         float64 // since when the delay has stood past the mark, 0 if it does not
+	newest       bool    // the hold has stood full for a while
+	limit        float64 // of RPCs on the cores
+	use          float64 // of the cores, of late
+	gauge        int     // where that gauge stands, -1 if there is none
+	lingers      []float64
+	out, outMean float64 // calls in the dependency's hands, and their mean
+	outAt        float64
+	slow         bool // a slow spell has been seen, and maybe said
+	leaving      bool
+	noticed      float64
+	stop         float64
+}
+
+// tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a
+// second cost next to nothing. margin is kept before a due time: two looks, should one be late.
+const tick, margin = 0.02, 2 * 0.02
+
+// New starts the module of an app server that has just come up. What the charter lacks, or has at zero,
+// gets the mildest meaning that keeps the rules.
 func New(now float64, seed uint64, c rpc.Charter, do rpc.Actions) *Module {
-	// A charter that lacks a figure gets the mildest meaning that keeps the rules.
-	c.Machine.Cores = max(c.Machine.Cores, 1)
-	c.Machine.RunFactor = max(c.Machine.RunFactor, 1)
+	m := &Module{Charter: c, do: do, seed: seed, now: now, started: now, updated: now, halved: now, outAt: now}
+	m.Machine.Cores = max(c.Machine.Cores, 1)
+	m.Machine.RunFactor = max(c.Machine.RunFactor, 1)
+	m.Rules.Crowd = max(c.Rules.Crowd, 1)
 	if c.Machine.MemoryKB <= 0 {
-		c.Machine.MemoryKB = math.Inf(1)
+		m.Machine.MemoryKB = math.Inf(1)
+	}
+	if c.Machine.CallsOut <= 0 {
+		m.Machine.CallsOut = 1
 	}
-	c.Rules.Crowd = max(c.Rules.Crowd, 1)
-	m := &Module{do: do, c: c, now: now, seed: seed, started: now, updated: now, decayed: now}
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
-	m.runs, m.usual = make([]hist, len(c.Methods)), make([]hist, len(c.Methods))
-	m.served, m.asked = make([]float64, len(c.Methods)), make([]float64, len(c.Methods))
+	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
 	for _, method := range c.Methods {
 		if method.Target > 0 {
@@ -114,67 +122,68 @@
 	if math.IsInf(tightest, 1) {
 		tightest = 1
 	}
-	m.target = tightest / 6 // d_t; a quarter made the incidents worse, an eighth the overload days
-	m.mark = 2 * m.target   // the design's default
-	m.limit = float64(c.Machine.Cores)
-	m.pool = m.limit * float64(max(c.Machine.Callers, 1))
-	m.meter = meter{span: max(c.Machine.CallsSpan, 1), at: now}
-	m.meter.slot = int(now / m.meter.span * 10)
-	m.credit = -1 // nothing said yet
+	m.dt = tightest / 6   // a quarter made the incidents worse, an eighth the overload days
+	m.mark = 2 * m.dt     // the design's default
+	m.limit = m.cores()   // the design's default
+	m.credit = math.NaN() // nothing said yet
+	m.pool = m.limit * float64(max(c.Machine.Callers, 1)) * m.warmth()
 	do.Health(true)
 	m.publish()
 	do.Wake(tick)
 	return m
 }
 
-// tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a second
-// cost next to nothing.
-const tick = 0.02
+func (m *Module) cores() float64 { return float64(m.Machine.Cores) }
 
-// Arrive takes note of an RPC that has been read. due is 0 where callers do not tell how long they wait.
+// warmth is the share of its speed that an app server has at the least while it comes up, 1 once warm.
+func (m *Module) warmth() float64 {
+	if !m.Machine.Cold || m.Rules.WarmIn <= 0 {
+		return 1
+	}
+	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*(m.now-m.started)/m.Rules.WarmIn)
+}
+
+// Arrive takes note of an RPC that has been read. due is 0 where callers do not tell how long they wait;
+// repeats is the RPC of which this is a further try, rpc.None or rpc.Gone.
 func (m *Module) Arrive(now float64, i, method, from int, lay, due, kb float64, repeats int) {
 	m.now = now
 	for len(m.rpcs) <= i {
 		m.rpcs = append(m.rpcs, work{})
 	}
 	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: -1})
+		m.callers = append(m.callers, caller{heard: math.Inf(-1)})
 	}
-	if method >= len(m.c.Methods) { // nothing is known of it, so nothing may be run
-		m.do.PushBack(i, false, 0)
+	if method >= len(m.Methods) { // nothing is known of it, so nothing may be run
+		m.do.Abort(i)
 		m.do.Release(i)
 		return
 	}
 	w := &m.rpcs[i]
 	*w = work{method: method, caller: from, arrival: now - lay, due: due, kb: kb}
 	if due <= 0 {
-		w.due = w.arrival + m.c.Methods[method].Deadline
+		w.due = w.arrival + m.Methods[method].Deadline
 	}
 	if m.leaving {
 		w.due = min(w.due, m.stop)
 	}
 	m.callers[from].heard = now
 	m.readWait, m.readAt = lay, now
-	m.asked[method]++
+	m.records[method].asked++
 	m.arrived++
 	m.move(i, held)
-	if float64(m.callers[from].out) >= m.credit {
-		m.full = true
-	}
-	pastGrace := m.leaving && w.arrival > m.noticed+m.c.Rules.Grace // rule 3: it is not run
+	m.full = m.full || float64(m.callers[from].out) >= m.credit
+	pastGrace := m.leaving && w.arrival > m.noticed+m.Rules.Grace // rule 3: it is not run
 	switch {
 	case repeats != rpc.None && (pastGrace || now > w.due-margin):
 		m.do.Abort(i) // the RPC that it repeats may have been run, so this is no refusal
 		m.move(i, absent)
-	case repeats != rpc.None && !m.takeOver(i, repeats):
-		m.do.Follow(i)
-		m.move(i, following)
+	case repeats >= 0 && m.rpcs[repeats].state == held:
+		m.takeOver(i, repeats)
 	case repeats != rpc.None:
-	case pastGrace, w.kb*m.c.Machine.RunFactor > m.room():
-		m.giveUp(i)
-	case m.c.Methods[method].Kind == rpc.Tokened && m.keyKB() > m.room()/2:
-		m.giveUp(i) // remembered tokens leave the other half for work
-	case now > w.due-margin, m.hopeless(w):
+		m.do.Follow(i) // a token that was run, or is not known any more, is never run again
+		m.move(i, following)
+	case pastGrace, now > w.due-margin, m.hopeless(w), w.kb*m.Machine.RunFactor > m.room(),
+		m.Methods[method].Kind == rpc.Tokened && m.keyKB() > m.room()/2: // the other half is for work
 		m.giveUp(i)
 	default:
 		m.remember(i)
@@ -183,62 +192,52 @@
 	m.pump()
 }
 
-// takeOver puts a further try in the place of the one it repeats, where that has not been started: the
-// caller has most likely given up on the earlier try. A token that was run, or that is not known any more, is
-// never run again; such a try follows the one that ran.
-func (m *Module) takeOver(i, earlier int) bool {
-	if earlier < 0 || m.rpcs[earlier].state != held {
-		return false
-	}
+// takeOver puts a further try in the place of a held one: the caller has most likely given up on the
+// earlier.
+func (m *Module) takeOver(i, earlier int) {
 	e, w := &m.rpcs[earlier], &m.rpcs[i]
-	w.arrival = min(w.arrival, e.arrival)
-	m.forgetCount(e)
+	m.dropKey(e) // its entry goes over to the further try
 	m.remember(i)
 	m.do.PushBack(earlier, true, m.advice())
+	arrival := e.arrival
 	m.move(earlier, absent)
-	return true
+	w.arrival = min(w.arrival, arrival)
 }
 
-// remember keeps the token of a held RPC until no repeat of it can be owed the same effect any more.
+// remember keeps the token of a held RPC, so that two held tries are known for one, until its window has
+// passed.
 func (m *Module) remember(i int) {
 	w := &m.rpcs[i]
-	if method := m.c.Methods[w.method]; method.Kind == rpc.Tokened && w.key == 0 {
-		w.key = m.now + method.Window + tick // from now: its window starts when it came, which was before
+	if method := &m.Methods[w.method]; method.Kind == rpc.Tokened {
+		w.key = m.now + method.Window + tick // the window counts from its arrival, which was before
 		m.keys = append(m.keys, w.key)
 		m.do.Remember(i, w.key-m.now)
 	}
 }
 
+func (m *Module) dropKey(w *work) {
+	if k := slices.Index(m.keys, w.key); k >= 0 {
+		m.keys = slices.Delete(m.keys, k, k+1)
+	}
+	w.key = 0
+}
+
 // forget drops the token of an RPC that will never run.
 func (m *Module) forget(i int) {
 	if w := &m.rpcs[i]; w.key > 0 {
 		m.do.Forget(i)
-		m.forgetCount(w)
+		m.dropKey(w)
 	}
 }
 
-func (m *Module) forgetCount(w *work) {
-	if k := slices.Index(m.keys, w.key); k >= 0 {
-		m.keys = slices.Delete(m.keys, k, k+1)
-	}
-	w.key = 0
-}
-
-// shed refuses somebody while the design's mark is passed or memory runs short. Who it is goes by
-// criticality over what has lately been served of the method, so that no method starves; among equals it is
-// the one that has just come.
+// shed refuses one RPC while the delay passes the mark, and as many as it takes while memory runs short.
+// Which one goes by criticality over the share of its method that has lately been ok, so that no method
+// starves; among equals it is the one that has just come.
 func (m *Module) shed(i int) {
-	over := m.delay() > m.mark
-	if over && m.refusing == 0 {
-		m.refusing = m.now
-	}
-	if !over {
-		m.refusing = 0
-	}
-	for over || m.memory() > m.room() {
-		least := i
-		if m.rpcs[i].state != held {
-			least = m.hold[0]
+	for over := m.delay() > m.mark; len(m.hold) > 0 && (over || m.memory() > m.room()); over = false {
+		least := m.hold[len(m.hold)-1]
+		if m.rpcs[i].state == held {
+			least = i
 		}
 		for _, j := range m.hold {
 			if m.value(j) < m.value(least) {
@@ -246,52 +245,45 @@
 			}
 		}
 		m.refuse(least, m.swamped())
-		over = false
-		if len(m.hold) == 0 {
-			return
-		}
 	}
 }
 
+func (m *Module) value(i int) float64 {
+	// Below one in ten all methods are starved alike.
+	method := m.rpcs[i].method
+	r := &m.records[method]
+	return m.Methods[method].Criticality / max((r.ok+1)/(r.asked+1), 0.1)
+}
+
 // swamped tells whether so many are turned away that another app server would most likely do the same. Then
 // callers are asked not to go on through their lists: reading what comes straight back takes the cores.
-func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && !m.ailing() }
-
-// ailing tells whether work takes twice as long as it used to here. Overload alone does not do that, as the
-// cores are kept from being crowded; so the trouble is this app server's own and others may well have room.
-func (m *Module) ailing() bool { return m.slowness() > 2 }
+// Three in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server
+// alone is short; the slow one is told apart by its run times.
+func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && m.slowness() < 2 }
 
+// slowness is how many times as long as it used to work takes here. Overload alone hardly lengthens it, as
+// the cores are kept from being crowded; so where it is high the trouble is this app server's own, whatever
+// it is.
 func (m *Module) slowness() float64 {
 	late, usual := 0.0, 0.0
-	for k := range m.runs {
-		if r, u := m.runs[k].quantile(0.5), m.usual[k].quantile(0.5); r > 0 && u > 0 {
-			late += m.runs[k].sum * r
-			usual += m.runs[k].sum * u
+	for k := range m.records {
+		r := &m.records[k]
+		if l, u := r.late.median(), r.usual.median(); l > 0 && u > 0 {
+			late += r.late.sum * l
+			usual += r.late.sum * u
 		}
 	}
-	return late / max(usual, 1e-9)
-}
-
-func (m *Module) timed(method int, took float64) {
-	m.runs[method].add(took)
-	m.usual[method].add(took)
-}
-
-// usualSpan is how many spans of what is measured of late make up what is usual: half a minute, longer than
-// most slow spells, so that they stand out.
-const usualSpan = 16
-
-func (m *Module) value(i int) float64 {
-	// One in ten served is as low as a method's share is told apart; below that all are starved alike.
-	method := m.rpcs[i].method
-	return m.c.Methods[method].Criticality / max((m.served[method]+1)/(m.asked[method]+1), 0.1)
+	if usual == 0 {
+		return 1
+	}
+	return late / usual
 }
 
-// delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the reading
-// wait of the latest arrival.
+// delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the
+// reading wait of the latest arrival.
 func (m *Module) delay() float64 {
 	d := 0.0
-	if m.now-m.readAt < m.target {
+	if m.now-m.readAt < m.dt {
 		d = m.readWait
 	}
 	if len(m.hold) > 0 {
@@ -300,45 +292,37 @@
 	return d
 }
 
-// memory is what held and running RPCs and remembered tokens need.
+// memory is what held and started RPCs and remembered tokens need. room leaves a twentieth for what is
+// rounded on the way here.
 func (m *Module) memory() float64 { return m.kb + m.keyKB() }
-
-func (m *Module) keyKB() float64 { return float64(len(m.keys)) * m.c.Machine.EntryKB }
-
-// room leaves a twentieth for what is rounded on the way here and for what else lives in the process.
-func (m *Module) room() float64 { return 0.95 * m.c.Machine.MemoryKB }
+func (m *Module) keyKB() float64  { return float64(len(m.keys)) * m.Machine.EntryKB }
+func (m *Module) room() float64   { return 0.95 * m.Machine.MemoryKB }
 
 // survivable is how many started RPCs the cores can have at once without harm, fewer while cold. A tenth is
-// left for what the smoothing of the rule's mean does not show.
+// left for work that comes back from its calls.
 func (m *Module) survivable() float64 {
-	share := 1.0
-	if m.c.Machine.Cold && m.c.Rules.WarmIn > 0 {
-		share = min(1, m.c.Rules.ColdAt+(1-m.c.Rules.ColdAt)*(m.now-m.started)/m.c.Rules.WarmIn)
-	}
-	return max(1, 0.9*float64(m.c.Machine.Cores)*(1+(m.c.Rules.Crowd-1)*share))
+	return max(1, 0.9*m.cores()*(1+(m.Rules.Crowd-1)*m.warmth()))
 }
 
-// pump starts held RPCs while the limits leave room: oldest first, and newest first once the hold has stood
+// pump starts held RPCs while the limits leave room: oldest first, newest first once the hold has stood
 // full for a while.
 func (m *Module) pump() {
-	newest := m.refusing > 0 && m.now-m.refusing > patience*m.target
 	for k := 0; k < len(m.hold); {
-		started := m.count[running] + m.count[adrift]
+		on := m.count[running] + m.count[adrift]
 		off := m.count[stalled] + m.count[calling] + m.count[closing]
-		if float64(started+1) > math.Floor(m.limit) || float64(started+off+1) > m.survivable() {
+		if float64(on+1) > m.limit || float64(on+off+1) > m.survivable() {
 			return
 		}
-		at := k
-		if newest {
-			at = len(m.hold) - 1 - k
+		i := m.hold[k]
+		if m.newest {
+			i = m.hold[len(m.hold)-1-k]
 		}
-		i := m.hold[at]
 		w := &m.rpcs[i]
+		calls := w.method < len(m.Machine.Calls) && m.Machine.Calls[w.method]
 		switch {
 		case m.hopeless(w):
 			m.giveUp(i)
-		case m.memory()+w.kb*(m.c.Machine.RunFactor-1) > m.room(),
-			m.calls(w.method) && off >= waitsPerCore*m.c.Machine.Cores:
+		case m.memory()+w.kb*(m.Machine.RunFactor-1) > m.room(), calls && off >= waitsPerCore*m.Machine.Cores:
 			k++
 		default:
 			w.began = m.now
@@ -348,115 +332,109 @@
 	}
 }
 
-// patience is how many d_t the hold stands full before the newest goes first: a full latency target.
-const patience = 4
-
-// waitsPerCore bounds the RPCs that wait on calls. They hold memory and come back to the cores by themselves.
+// waitsPerCore bounds the RPCs that wait on calls, so that a silent dependency leaves the methods without
+// calls their memory and their cores. One a core is many times what calls take while the dependency is
+// well.
 const waitsPerCore = 1
 
-func (m *Module) calls(method int) bool {
-	return method < len(m.c.Machine.Calls) && m.c.Machine.Calls[method]
-}
-
-// goodUntil is when an answer stops being worth anything to the caller.
+// goodUntil is when an answer stops being worth its full criticality.
 func (m *Module) goodUntil(w *work) float64 {
-	return min(w.arrival+m.c.Methods[w.method].Target, w.due-margin)
+	return min(w.arrival+m.Methods[w.method].Target, w.due-margin)
 }
 
-// margin is kept before a due time: two looks, should one be late.
-const margin = 2 * tick
-
-// hopeless tells whether a held RPC would come too late even if it were started now.
-// With idle cores it is tried all the same, so that the run times stay fresh and recovery is seen.
+// hopeless tells whether a held RPC would come too late even if it were started now. While half the cores
+// are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
-	if m.now > m.goodUntil(w) {
-		return true
-	}
-	return m.count[running]+m.count[adrift] >= m.c.Machine.Cores/2 && m.now+m.runs[w.method].quantile(0.5) > m.goodUntil(w)
+	until := m.goodUntil(w)
+	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
+		m.now+m.records[w.method].late.median() > until
 }
 
 // giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
 func (m *Module) giveUp(i int) {
 	w := &m.rpcs[i]
-	switch w.state {
-	case held:
+	switch {
+	case w.state == held:
 		// Another app server may be quicker, unless most of the time is gone.
-		m.refuse(i, m.swamped() || m.now-w.arrival > m.c.Methods[w.method].Target/2)
-	case following:
+		m.refuse(i, m.swamped() || m.now-w.arrival > m.Methods[w.method].Target/2)
+		return
+	case w.state != following && m.Methods[w.method].Kind == rpc.Idempotent:
+		m.do.PushBack(i, true, m.advice())
+	default:
 		m.do.Abort(i)
-		m.move(i, absent)
-	case running, stalled, calling:
-		if m.c.Methods[w.method].Kind == rpc.Idempotent {
-			m.do.PushBack(i, true, m.advice())
-		} else {
-			m.do.Abort(i)
-		}
-		m.unwind(i)
 	}
+	m.unwind(i)
 }
 
-// unwind lets go of the work of an RPC that nobody awaits. A tokened one runs on: its repeat may ask for the
-// outcome, and could not be run again.
+// refuse pushes back a held RPC, which has not been started.
+func (m *Module) refuse(i int, last bool) {
+	m.refused++
+	m.forget(i)
+	m.do.PushBack(i, last, m.advice())
+	m.move(i, absent)
+}
+
+// unwind lets go of an RPC that nobody awaits any more.
 func (m *Module) unwind(i int) {
 	w := &m.rpcs[i]
-	// It took at least so long: without this only the quick would be measured, and a slow spell not be seen.
-	m.timed(w.method, m.now-w.began)
-	if w.state == stalled || w.state == calling {
+	switch w.state {
+	case held:
+		m.forget(i)
+		m.move(i, absent)
+	case following:
+		m.move(i, absent)
+	case running:
+		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
+		m.timed(w, m.now-w.began)
+		m.move(i, adrift)
+		m.halt(i)
+	case calling:
+		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
+		m.move(i, closing)
+	case stalled:
 		m.move(i, closing)
-		return
 	}
-	m.halt(w, i)
-	m.move(i, adrift)
 }
 
-func (m *Module) halt(w *work, i int) {
-	if m.c.Machine.Preemption != rpc.Unstoppable && m.c.Methods[w.method].Kind != rpc.Tokened {
+// halt takes work that is adrift off the cores. A tokened RPC runs on: its repeat may ask for the outcome,
+// and could not be run again.
+func (m *Module) halt(i int) {
+	if m.Machine.Preemption != rpc.Unstoppable && m.Methods[m.rpcs[i].method].Kind != rpc.Tokened {
 		m.do.Stop(i)
 	}
 }
 
-// refuse pushes back a held RPC that has not been started.
-func (m *Module) refuse(i int, last bool) {
-	m.refused++
-	m.forget(i)
-	m.do.PushBack(i, last, m.advice())
-	m.move(i, absent)
-}
-
 // advice is when to come back: when the delay should be back at its target.
 func (m *Module) advice() float64 {
 	switch {
-	case !m.c.Ceilings.RetryAfter:
+	case !m.Ceilings.RetryAfter:
 		return 0
 	case m.leaving:
-		return m.c.Ceilings.MaxRetryAfter
+		return m.Ceilings.MaxRetryAfter
 	}
-	return min(max(m.delay()-m.target, 0), m.c.Ceilings.MaxRetryAfter)
+	return min(max(m.delay()-m.dt, 0), m.Ceilings.MaxRetryAfter)
 }
 
-// move makes every change of state and keeps the counts that hang on it.
+// move makes every change of state and keeps the counts and lists that hang on it.
 func (m *Module) move(i int, to state) {
 	w := &m.rpcs[i]
 	from := w.state
-	if from == to {
-		return
-	}
 	m.count[from]--
 	m.count[to]++
 	m.kb += w.kb * (m.weight(to) - m.weight(from))
-	m.callers[w.caller].out += owed(to) - owed(from)
+	if from.owed() && !to.owed() {
+		m.callers[w.caller].out--
+	}
 	w.state = to
 	switch from {
+	case absent:
+		m.callers[w.caller].out++
 	case held:
 		k := slices.Index(m.hold, i)
 		m.hold = slices.Delete(m.hold, k, k+1)
 	case stalled:
 		k := slices.Index(m.waiting, i)
 		m.waiting = slices.Delete(m.waiting, k, k+1)
-	case calling:
-		if to != running { // an abandoned call stays in the dependency's hands for a while
-			m.lingers = append(m.lingers, m.now+m.c.Machine.Linger)
-		}
 	}
 	switch to {
 	case held:
@@ -472,6 +450,7 @@
 	}
 }
 
+// weight is how many times its held size an RPC takes.
 func (m *Module) weight(s state) float64 {
 	switch s {
 	case absent:
@@ -479,15 +458,12 @@
 	case held, following:
 		return 1
 	}
-	return m.c.Machine.RunFactor
+	return m.Machine.RunFactor
 }
 
-func owed(s state) int {
-	switch s {
-	case held, running, stalled, calling, following:
-		return 1
-	}
-	return 0
+func (m *Module) timed(w *work, took float64) {
+	m.records[w.method].late.add(took)
+	m.records[w.method].usual.add(took)
 }
 
 // Ended takes note of the end of a run, or of an RPC that followed another.
@@ -498,271 +474,276 @@
 		return
 	}
 	if how == rpc.OK && w.state == running {
-		m.timed(w.method, took)
-		if now <= w.arrival+m.c.Methods[w.method].Target {
-			m.served[w.method]++
+		m.timed(w, took)
+		if now <= w.arrival+m.Methods[w.method].Target {
+			m.records[w.method].ok++
 		}
 	}
-	if how != rpc.OK && how != rpc.Error && owed(w.state) > 0 && w.state != following {
+	if w.state.owed() && how != rpc.OK && how != rpc.Error {
 		m.do.Abort(i) // it was stopped with its answer still owed
 	}
 	m.move(i, absent)
+	m.place()
 	m.pump()
 }
 
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
-	switch m.rpcs[i].state {
-	case held:
-		m.forget(i)
-		m.move(i, absent)
-	case following:
-		m.move(i, absent)
-	case running, stalled, calling:
-		m.unwind(i)
-	}
+	m.unwind(i)
 	m.pump()
 }
 
 // NeedsCall takes note that a running RPC waits to place a call.
 func (m *Module) NeedsCall(now float64, i int) {
 	m.now = now
-	if w := &m.rpcs[i]; w.state == running {
+	switch w := &m.rpcs[i]; w.state {
+	case running:
 		w.tries = 0
 		m.move(i, stalled)
-	} else if w.state == adrift {
+	case adrift:
 		m.move(i, closing)
 	}
 	m.place()
 	m.pump()
 }
 
-// place starts calls, longest waiting first, within this app server's share of what the dependency survives.
-// The share is a mean that counts abandoned calls too; one below 1 is kept by leaving gaps.
+// place starts calls, longest waiting first, within this app server's share of what the dependency
+// survives, abandoned calls included. A share below 1 is kept as a mean, by gaps between calls and by their
+// patience.
 func (m *Module) place() {
 	m.lingers = slices.DeleteFunc(m.lingers, func(end float64) bool { return end <= m.now })
-	out := m.count[calling] + len(m.lingers)
-	m.meter.note(m.now, float64(out))
-	share := m.c.Machine.CallsOut
-	for len(m.waiting) > 0 {
-		if m.c.Machine.Below == "one_for_all" && (float64(out+1) > max(1, share) || m.meter.mean() > callShare*share) {
-			return
-		}
+	share, span := m.Machine.CallsOut, max(m.Machine.CallsSpan, 1)
+	m.outMean += (m.out - m.outMean) * (1 - math.Exp((m.outAt-m.now)/span))
+	m.outAt = m.now
+	for m.out = m.callsOut(); len(m.waiting) > 0; m.out = m.callsOut() {
 		i := m.waiting[0]
-		w := &m.rpcs[i]
-		left := m.goodUntil(w) - m.now
+		left := m.goodUntil(&m.rpcs[i]) - m.now
 		if left <= 0 {
 			m.giveUp(i)
 			continue
 		}
-		w.tries++
+		if m.Machine.Below == "one_for_all" {
+			// Four fifths, as a call in hand goes on after the mean has been read.
+			if m.out+1 > max(1, share) || m.outMean > 0.8*share {
+				return
+			}
+			left = min(left, share*span)
+		}
+		m.rpcs[i].tries++
 		m.do.Call(i, left)
 		m.move(i, calling)
-		out++
-		m.meter.note(m.now, float64(out))
 	}
 }
 
-// callShare of the survivable mean is used: calls in hand go on after the meter has been read.
-const callShare = 0.8
+func (m *Module) callsOut() float64 { return float64(m.count[calling] + len(m.lingers)) }
 
-// Called takes note of how a call ended. One that may have taken effect is repeated only for idempotent RPCs.
-func (m *Module) Called(now float64, i int, how rpc.Outcome, took float64) {
+// Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are
+// all; a call that may have taken effect is repeated only for an idempotent RPC.
+func (m *Module) Called(now float64, i int, how rpc.Outcome) {
 	m.now = now
 	if w := &m.rpcs[i]; w.state == calling {
-		again := how.NeverRan() || m.c.Methods[w.method].Kind == rpc.Idempotent
-		switch {
-		case how == rpc.OK:
+		m.move(i, stalled)
+		if how == rpc.TimedOut { // an abandoned call stays in the dependency's hands for a while
+			m.lingers = append(m.lingers, now+m.Machine.Linger)
+		}
+		again := how.NeverRan() || m.Methods[w.method].Kind == rpc.Idempotent
+		if how == rpc.OK {
 			m.move(i, running)
-		case again && w.tries < callTries && now < m.goodUntil(w):
-			m.move(i, stalled)
-		default:
-			m.move(i, stalled)
-			m.do.Abort(i)
-			m.move(i, closing)
+		} else if !again || w.tries >= 3 {
+			m.giveUp(i)
 		}
 	}
 	m.place()
 	m.pump()
 }
 
-// callTries: a call that failed three times running meets a trouble that outlasts quick repeats.
-const callTries = 3
-
-// Leave takes note that the process will be stopped at the given time.
+// Leave takes note that the process will be stopped at the given time. All is answered half a second
+// before, should the cores stand still for a moment then.
 func (m *Module) Leave(now, at float64) {
 	m.now = now
-	m.leaving, m.noticed = true, now
-	// All is answered well before the stop, should the cores stand still for a moment.
-	m.stop = max(now, at-0.5)
+	m.leaving, m.noticed, m.stop = true, now, max(now, at-0.5)
 	for i := range m.rpcs {
 		m.rpcs[i].due = min(m.rpcs[i].due, m.stop)
 	}
 	m.do.Health(false)
 	m.publish()
-	m.do.Log(fmt.Sprintf("leaving: %d held, %d started", len(m.hold), m.count[running]+m.count[stalled]+m.count[calling]))
-	m.sweep()
+	m.do.Log(fmt.Sprintf("leaving: %d held, %d running", len(m.hold), m.count[running]))
+	m.sweep(false)
 }
 
 // Tick looks at the gauges, the dues and the pool.
 func (m *Module) Tick(now float64, gauges []float64) {
 	m.now = now
 	m.keys = slices.DeleteFunc(m.keys, func(end float64) bool { return end <= now })
-	if now-m.decayed > memorySpan {
-		m.decayed = now
-		m.looks++
-		m.arrived, m.refused = m.arrived/2, m.refused/2
-		for k := range m.runs {
-			m.runs[k].halve()
-			if m.looks%usualSpan == 0 {
-				m.usual[k].halve()
-			}
-			m.served[k] /= 2
-			m.asked[k] /= 2
-		}
+	if now-m.halved > span {
+		m.halve()
 	}
-	m.sweep()
+	update := now-m.updated >= m.dt // a round trip is about as long as the delay that is steered
+	m.sweep(update)
 	m.adjust(gauges)
-	if now-m.updated >= m.target { // a round trip is about as long as the delay that is steered
-		m.updated = now
+	if update {
 		m.update()
+		m.checkHealth()
 	}
 	m.place()
 	m.pump()
 	m.do.Wake(tick)
 }
 
-// memorySpan: what was measured counts half after this long, so that a trouble is soon learnt and forgotten.
-const memorySpan = 2.0
+// What is measured counts half after a span, so that a trouble is soon learnt and forgotten. What is usual
+// does after 16 of them, half a minute, longer than most slow spells, so that they stand out.
+const span, usualSpans = 2.0, 16
+
+func (m *Module) halve() {
+	m.halved = m.now
+	m.looks++
+	m.arrived, m.refused = m.arrived/2, m.refused/2
+	for k := range m.records {
+		r := &m.records[k]
+		r.asked, r.ok = r.asked/2, r.ok/2
+		r.late.halve()
+		if m.looks%usualSpans == 0 {
+			r.usual.halve()
+		}
+	}
+}
 
-// update is the design's: additive growth below d_t, a cut by the overshoot, at most half, above.
+// update is the design's: additive growth below d_t unless no caller has its full credit out, a cut by the
+// overshoot, at most half, above.
 func (m *Module) update() {
 	const alpha, beta = 0.01, 0.5 // the design's defaults
-	heard := 0
-	for _, c := range m.callers {
-		if c.out > 0 || m.now-c.heard <= 1 {
-			heard++
-		}
-	}
-	d := m.delay()
-	if d > m.target {
-		m.pool *= max(1-beta*(d-m.target)/m.target, 0.5)
+	m.updated = m.now
+	d, heard := m.delay(), m.heard()
+	if d > m.dt {
+		m.pool *= max(1-beta*(d-m.dt)/m.dt, 0.5)
 	} else if m.full {
-		step := max(alpha*float64(heard), 1)
+		step := max(alpha*heard, 1)
 		if len(m.hold) == 0 && m.use < idle {
-			step = max(step, float64(heard))
+			step = max(step, heard)
 		}
 		m.pool += step
 	}
-	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below that
-	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it 0.05 to 0.1.
+	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below
+	// that callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it
+	// more.
 	m.pool = max(m.pool, 1.5*m.limit)
 	m.full = false
-	m.checkHealth()
 	m.publish()
-}
-
-// checkHealth says so to health checks while work takes three times what is usual; at twice, overload days lose
-// by it. A fleet that is slow as a whole must not empty the list, so only every second app server speaks up, by
-// a draw for each spell. One that is avoided runs little, forgets its slow runs and is well again.
-func (m *Module) checkHealth() {
-	slow := m.slowness() > 3
-	if slow && !m.slow && !m.leaving && m.chance() < 0.5 {
-		m.do.Health(false)
-		m.do.Log(fmt.Sprintf("slow: work takes %.1f times the usual, health says so", m.slowness()))
+	if d <= m.mark {
+		m.over = 0
+	} else if m.over == 0 {
+		m.over = m.now
 	}
-	if !slow && m.slow && !m.leaving {
-		m.do.Health(true)
-		m.do.Log("slow: over")
+	if newest := m.over > 0 && m.now-m.over > fullFor*m.dt; newest != m.newest {
+		m.newest = newest
+		m.do.Log(fmt.Sprintf("hold full for a while: %v, %d held", newest, len(m.hold)))
 	}
-	m.slow = slow
-}
-
-// chance draws a number from 0 to 1.
-func (m *Module) chance() float64 {
-	m.draws++
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:], m.draws)
-	binary.BigEndian.PutUint64(b[8:], m.seed)
-	h := fnv.New64a()
-	h.Write(b[:])
-	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// idle is the use of the cores under which a caller that is out of credit is the bottleneck. Then the step is a
-// whole credit for each caller: a hot caller stays capped otherwise, while the others' credits lie unused.
+// idle is the use of the cores under which a caller that is out of credit is the bottleneck. Then the step
+// is a whole credit for each caller: a hot caller stays capped otherwise, while the others' credits lie
+// unused.
 const idle = 0.9
 
-// publish says the free credit, which goes out with every answer, in the terms of the site's signal.
-func (m *Module) publish() {
-	heard := 0
+// fullFor is how many d_t the delay stands past the mark before the newest start first: one latency target.
+const fullFor = 6
+
+// heard counts the callers heard within a second; before any, it is those that there were at start.
+func (m *Module) heard() float64 {
+	n := 0
 	for _, c := range m.callers {
 		if m.now-c.heard <= 1 {
-			heard++
+			n++
 		}
 	}
-	if heard == 0 {
-		heard = max(m.c.Machine.Callers, 1)
+	if n == 0 {
+		n = max(m.Machine.Callers, 1)
 	}
-	credit := max(1, math.Ceil(m.pool/float64(heard)))
+	return float64(n)
+}
+
+// publish says the free credit, which goes out with every answer, in the terms of the site's signal: as it
+// is, or as the share of what is in hand that the pool covers. One that leaves wants nothing more.
+func (m *Module) publish() {
+	credit := max(1, math.Ceil(m.pool/m.heard()))
+	inHand := float64(m.count[held] + m.count[running] + m.count[stalled] + m.count[calling])
+	cover := min(1, m.pool/max(inHand, 1))
 	if m.leaving {
-		credit = 0 // nothing more is wanted here
+		credit, cover = 0, 0
 	}
 	if credit == m.credit {
 		return
 	}
 	m.credit = credit
-	spare := 1.0 // how much of what is in hand the pool covers
-	if inHand := m.count[held] + m.count[running] + m.count[stalled] + m.count[calling]; inHand > 0 {
-		spare = min(1, m.pool/float64(inHand))
-	}
-	if m.leaving {
-		spare = 0
-	}
-	switch m.c.Machine.Signal {
+	switch m.Machine.Signal {
 	case rpc.Allowance:
 		m.do.Publish(credit)
 	case rpc.Weight:
-		m.do.Publish(spare)
+		m.do.Publish(cover)
 	case rpc.Floor:
-		m.do.Publish(0.9 * (1 - spare))
+		m.do.Publish(1 - cover)
 	}
 }
 
-// adjust follows the cores: the limit grows while they idle and work waits, and shrinks while they do not idle at
-// all, which more RPCs on them would only slow.
+// checkHealth says so to health checks while work takes three times what is usual; at twice, overload days
+// lose by it. A fleet that is slow as a whole must not empty the list, so only every second app server
+// speaks up, by a draw for each spell. One that is avoided runs little, forgets its slow runs and is well
+// again.
+func (m *Module) checkHealth() {
+	slow := m.slowness() > 3
+	if slow == m.slow || m.leaving {
+		return
+	}
+	m.slow = slow
+	if !slow || m.chance() < 0.5 {
+		m.do.Health(!slow)
+	}
+	m.do.Log(fmt.Sprintf("slow: %v, work takes %.1f times the usual", slow, m.slowness()))
+}
+
+// chance draws a number from 0 to 1.
+func (m *Module) chance() float64 {
+	m.draws++
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], m.draws)
+	binary.BigEndian.PutUint64(b[8:], m.seed)
+	h := fnv.New64a()
+	h.Write(b[:])
+	return float64(h.Sum64()>>11) / (1 << 53)
+}
+
+// adjust follows the cores: the limit grows while they idle and work waits, and shrinks while they do not
+// idle at all, which more RPCs on them would only slow.
 func (m *Module) adjust(gauges []float64) {
-	cores := float64(m.c.Machine.Cores)
-	m.use = min(float64(m.count[running]+m.count[adrift])/cores, 1)
+	m.use = min(float64(m.count[running]+m.count[adrift])/m.cores(), 1)
 	if m.gauge >= 0 && m.gauge < len(gauges) {
 		m.use = gauges[m.gauge]
 	}
 	if m.use > busy || len(m.hold) > 0 {
-		m.limit += cores * (busy - m.use) * gain * tick
+		m.limit += m.cores() * (busy - m.use) * gain * tick
 	}
-	m.limit = min(max(m.limit, cores), 2*cores, m.survivable())
+	m.limit = max(1, min(max(m.limit, m.cores()), 2*m.cores(), m.survivable())) // 3 a core gains nothing
 }
 
-// busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about.
-// gain is how many times the gap is added in a second, a few times the half second over which use is measured.
-const busy, gain = 0.97, 2
+// busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about. gain
+// is how many times the gap is added in a second, a few times the half second over which use is measured.
+const busy, gain = 0.97, 2.0
 
-// sweep answers what has run out of time.
-func (m *Module) sweep() {
-	again := m.now-m.updated >= m.target
+// sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can
+// be and other work waits for them; a stop is said again at times, as it has no effect while the cores
+// stand still.
+func (m *Module) sweep(again bool) {
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
+		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
 		switch {
 		case w.state == adrift && again:
-			m.halt(w, i) // a stop has no effect while the cores stand still
-		case owed(w.state) == 0:
-		case m.now > w.due-margin:
-			m.giveUp(i)
-		case w.state == held && m.hopeless(w):
-			m.giveUp(i)
-		case w.state == running && len(m.hold) > 0 && m.now > m.goodUntil(w) &&
-			m.c.Methods[w.method].LateShare == 0 && m.c.Machine.Preemption != rpc.Unstoppable:
+			m.halt(i)
+		case !w.state.owed():
+		case m.now > w.due-margin, w.state == held && m.hopeless(w),
+			lost && (w.state == stalled || w.state == calling),
+			lost && w.state == running && len(m.hold) > 0 && m.Machine.Preemption != rpc.Unstoppable:
 			m.giveUp(i)
 		}
 	}
@@ -787,47 +768,13 @@
 	h.sum /= 2
 }
 
-// quantile is 0 while too little is known, so that no lasting judgement hangs on old figures.
-func (h *hist) quantile(q float64) float64 {
-	if h.sum < 2 {
-		return 0
-	}
+// median is 0 while too little is known, so that no lasting judgement hangs on old figures.
+func (h *hist) median() float64 {
 	sum := 0.0
 	for k, n := range h.bins {
-		if sum += n; sum >= q*h.sum {
+		if sum += n; h.sum >= 2 && sum >= h.sum/2 {
 			return 0.02 * math.Pow(1.5, float64(k)-0.5)
 		}
 	}
 	return 0
 }
-
-// meter is the mean of a number over a span, in tenths of the span.
-type meter struct {
-	span, at, level float64
-	sums            [11]float64
-	slot            int
-}
-
-func (t *meter) note(now, level float64) {
-	for t.at < now {
-		end := min(now, float64(t.slot+1)*t.span/10)
-		if end <= t.at {
-			end = now
-		}
-		t.sums[t.slot%len(t.sums)] += t.level * (end - t.at)
-		t.at = end
-		if t.at >= float64(t.slot+1)*t.span/10 {
-			t.slot++
-			t.sums[t.slot%len(t.sums)] = 0
-		}
-	}
-	t.level = level
-}
-
-func (t *meter) mean() float64 {
-	sum := 0.0
-	for _, s := range t.sums {
-		sum += s
-	}
-	return sum / t.span
-}
