--- a/logic/logic.go
+++ b/logic/logic.go
@@ -101,7 +101,7 @@
 // New starts the module of an app server that has just come up. What the charter lacks, or has at zero,
 // gets the mildest meaning that keeps the rules.
 func New(now float64, seed uint64, c rpc.Charter, do rpc.Actions) *Module {
-	m := &Module{Charter: c, do: do, seed: seed, now: now, started: now, updated: now, halved: now, outAt: now}
+	m := &Module{Charter: c, do: do, seed: seed, now: now, started: now, updated: now, halved: now}
 	m.Machine.Cores = max(c.Machine.Cores, 1)
 	m.Machine.RunFactor = max(c.Machine.RunFactor, 1)
 	m.Rules.Crowd = max(c.Rules.Crowd, 1)
@@ -111,6 +111,7 @@
 	if c.Machine.CallsOut <= 0 {
 		m.Machine.CallsOut = 1
 	}
+	m.outAt = now
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
 	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
@@ -387,7 +388,10 @@
 		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
 		m.timed(w, m.now-w.began)
 		m.move(i, adrift)
-		m.halt(i)
+		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
+		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
+			m.do.Stop(i)
+		}
 	case calling:
 		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
 		m.move(i, closing)
@@ -396,14 +400,6 @@
 	}
 }
 
-// halt takes work that is adrift off the cores. A tokened RPC runs on: its repeat may ask for the outcome,
-// and could not be run again.
-func (m *Module) halt(i int) {
-	if m.Machine.Preemption != rpc.Unstoppable && m.Methods[m.rpcs[i].method].Kind != rpc.Tokened {
-		m.do.Stop(i)
-	}
-}
-
 // advice is when to come back: when the delay should be back at its target.
 func (m *Module) advice() float64 {
 	switch {
@@ -569,7 +565,7 @@
 	m.do.Health(false)
 	m.publish()
 	m.do.Log(fmt.Sprintf("leaving: %d held, %d running", len(m.hold), m.count[running]))
-	m.sweep(false)
+	m.sweep()
 }
 
 // Tick looks at the gauges, the dues and the pool.
@@ -579,10 +575,9 @@
 	if now-m.halved > span {
 		m.halve()
 	}
-	update := now-m.updated >= m.dt // a round trip is about as long as the delay that is steered
-	m.sweep(update)
+	m.sweep()
 	m.adjust(gauges)
-	if update {
+	if now-m.updated >= m.dt { // a round trip is about as long as the delay that is steered
 		m.update()
 		m.checkHealth()
 	}
@@ -618,11 +613,7 @@
 	if d > m.dt {
 		m.pool *= max(1-beta*(d-m.dt)/m.dt, 0.5)
 	} else if m.full {
-		step := max(alpha*heard, 1)
-		if len(m.hold) == 0 && m.use < idle {
-			step = max(step, heard)
-		}
-		m.pool += step
+		m.pool += max(alpha*heard, 1)
 	}
 	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below
 	// that callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it
@@ -641,11 +632,6 @@
 	}
 }
 
-// idle is the use of the cores under which a caller that is out of credit is the bottleneck. Then the step
-// is a whole credit for each caller: a hot caller stays capped otherwise, while the others' credits lie
-// unused.
-const idle = 0.9
-
 // fullFor is how many d_t the delay stands past the mark before the newest start first: one latency target.
 const fullFor = 6
 
@@ -730,16 +716,13 @@
 // is how many times the gap is added in a second, a few times the half second over which use is measured.
 const busy, gain = 0.97, 2.0
 
-// sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can
-// be and other work waits for them; a stop is said again at times, as it has no effect while the cores
-// stand still.
-func (m *Module) sweep(again bool) {
+// sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can be
+// and other work waits for them.
+func (m *Module) sweep() {
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
 		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
 		switch {
-		case w.state == adrift && again:
-			m.halt(i)
 		case !w.state.owed():
 		case m.now > w.due-margin, w.state == held && m.hopeless(w),
 			lost && (w.state == stalled || w.state == calling),
