--- /dev/null
+++ b/logic/desk_test.go
@@ -0,0 +1,83 @@
+package logic_test
+
+import (
+	"fmt"
+
+	"valveglade/logic"
+	"valveglade/rpc"
+)
+
+// desk plays an app server to a module and prints what the module decides.
+type desk struct {
+	m       *logic.Module
+	now     float64
+	use     float64 // what the gauge of the cores reads
+	credits bool    // print the credit too
+}
+
+const (
+	read  = iota // idempotent, criticality 1
+	write        // tokened, criticality 3
+	page         // non-idempotent, criticality 4, may call below
+)
+
+// open starts a module with two cores and two callers; change may be nil.
+func open(change func(c *rpc.Charter)) *desk {
+	c := rpc.Charter{
+		Methods: []rpc.Method{
+			{Kind: rpc.Idempotent, Target: 1.2, Deadline: 4, Criticality: 1},
+			{Kind: rpc.Tokened, Target: 2.4, Deadline: 8, Window: 10, Criticality: 3, LateShare: 0.2},
+			{Kind: rpc.NonIdempotent, Target: 2.4, Deadline: 8, Criticality: 4},
+		},
+		Machine: rpc.Machine{Below: "one_for_all", Callers: 2, Calls: []bool{false, false, true}, CallsOut: 1,
+			CallsSpan: 5, Linger: 0.2, Cores: 2, Gauges: []string{"heap_share", "core_use"}, EntryKB: 10,
+			MemoryKB: 4000, RunFactor: 4, Preemption: rpc.Freezes, Signal: rpc.Allowance},
+		Rules: rpc.Rules{Crowd: 5, Grace: 1, ColdAt: 0.2, WarmIn: 10},
+	}
+	c.Ceilings.RetryAfter, c.Ceilings.MaxRetryAfter = true, 1
+	if change != nil {
+		change(&c)
+	}
+	d := &desk{now: 100, use: 1}
+	d.m = logic.New(d.now, 7, c, d)
+	return d
+}
+
+func (d *desk) arrive(i, method int)         { d.arriveAs(i, method, 0, 0, rpc.None) }
+func (d *desk) repeat(i, method, of int)     { d.arriveAs(i, method, 0, 0, of) }
+func (d *desk) ended(i int, how rpc.Outcome) { d.m.Ended(d.now, i, how, 0.3) }
+func (d *desk) say(format string, args ...any) {
+	fmt.Printf("%6.2f "+format+"\n", append([]any{d.now - 100}, args...)...)
+}
+
+func (d *desk) arriveAs(i, method, from int, lay float64, repeats int) {
+	d.m.Arrive(d.now, i, method, from, lay, 0, 20, repeats)
+}
+
+// pass lets time go by, a look at a time.
+func (d *desk) pass(seconds float64) {
+	for end := d.now + seconds - 1e-9; d.now < end; {
+		d.now += 0.02
+		d.m.Tick(d.now, []float64{0, d.use})
+	}
+}
+
+func (d *desk) Start(i int)               { d.say("start %d", i) }
+func (d *desk) Stop(i int)                { d.say("stop %d", i) }
+func (d *desk) Call(i int, p float64)     { d.say("call %d, patience %.2f", i, p) }
+func (d *desk) Abort(i int)               { d.say("abort %d", i) }
+func (d *desk) Remember(i int, s float64) { d.say("remember %d for %.2f", i, s) }
+func (d *desk) Forget(i int)              { d.say("forget %d", i) }
+func (d *desk) Follow(i int)              { d.say("follow %d", i) }
+func (d *desk) Health(good bool)          { d.say("health %v", good) }
+func (d *desk) Log(text string)           { d.say("log %s", text) }
+func (d *desk) Wake(float64)              {}
+func (d *desk) Release(int)               {}
+func (d *desk) Publish(v float64) {
+	if d.credits {
+		d.say("credit %.1f", v)
+	}
+}
+func (d *desk) PushBack(i int, last bool, after float64) {
+	d.say("push back %d, last %v, after %.2f", i, last, after)
+}
--- /dev/null
+++ b/logic/logic_test.go
@@ -0,0 +1,373 @@
+package logic_test
+
+import (
+	"valveglade/rpc"
+)
+
+// The ordinary path: oldest first within the running limit; past the mark the least is refused, whether it has
+// just come or is held.
+func Example_mark() {
+	d := open(nil)
+	for i := range 4 {
+		d.arrive(i, read)
+	}
+	d.pass(0.42)
+	d.arrive(4, read)
+	d.arrive(5, page)
+	d.ended(0, rpc.OK)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.42 push back 4, last false, after 0.22
+	//   0.42 push back 2, last false, after 0.22
+	//   0.42 start 3
+}
+
+// The credit grows while a caller has its full credit out, is cut with the delay, and comes back.
+func Example_credit() {
+	d := open(nil)
+	d.credits = true
+	d.arriveAs(0, read, 0, 0, rpc.None)
+	d.arriveAs(1, read, 1, 0, rpc.None)
+	d.pass(0.3)
+	for i := 2; i < 5; i++ {
+		d.arriveAs(i, read, 0, 0, rpc.None)
+	}
+	d.pass(0.5)
+	for i := range 5 {
+		d.ended(i, rpc.OK)
+	}
+	for i := 5; i < 12; i++ {
+		d.arriveAs(i, read, 0, 0, rpc.None)
+		d.pass(0.2)
+		d.ended(i, rpc.OK)
+	}
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.44 credit 3.0
+	//   0.66 credit 2.0
+	//   0.80 start 2
+	//   0.80 start 3
+	//   0.80 start 4
+	//   0.80 start 5
+	//   1.00 start 6
+	//   1.10 credit 4.0
+	//   1.20 start 7
+	//   1.40 start 8
+	//   1.60 start 9
+	//   1.80 start 10
+	//   2.00 start 11
+}
+
+// Once the hold has stood full for a while the newest goes first.
+func Example_newestFirst() {
+	d := open(func(c *rpc.Charter) { c.Methods[page].Target = 7 })
+	for i := range 6 {
+		d.arrive(i, page)
+	}
+	d.pass(1.8)
+	d.ended(0, rpc.OK)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   1.76 log hold full for a while: true, 4 held
+	//   1.80 start 5
+}
+
+// Many refusals: callers are asked not to go on through their lists.
+func Example_swamped() {
+	d := open(nil)
+	for i := range 4 {
+		d.arrive(i, page)
+	}
+	d.pass(0.5)
+	for i := 4; i < 10; i++ {
+		d.arrive(i, read)
+	}
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.50 push back 4, last false, after 0.30
+	//   0.50 push back 5, last false, after 0.30
+	//   0.50 push back 6, last false, after 0.30
+	//   0.50 push back 7, last false, after 0.30
+	//   0.50 push back 8, last true, after 0.30
+	//   0.50 push back 9, last true, after 0.30
+}
+
+// A tokened RPC runs once: a further try takes the place of one that is held, and follows one that has started,
+// is ok or was answered.
+func Example_tokened() {
+	d := open(func(c *rpc.Charter) { c.Machine.Cores = 1 })
+	d.arrive(0, page)
+	d.arrive(1, write)
+	d.repeat(2, write, 1)
+	d.ended(0, rpc.OK)
+	d.repeat(3, write, 2)
+	d.m.CallerGone(d.now, 2)
+	d.ended(2, rpc.Cancelled)
+	d.ended(3, rpc.OK)
+	d.repeat(4, write, rpc.Gone)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 remember 1 for 10.02
+	//   0.00 remember 2 for 10.02
+	//   0.00 push back 1, last true, after 0.00
+	//   0.00 start 2
+	//   0.00 follow 3
+	//   0.00 follow 4
+}
+
+// A token of an RPC that will never run is forgotten, with its memory.
+func Example_tokenForgotten() {
+	d := open(func(c *rpc.Charter) { c.Machine.Cores = 1 })
+	d.arrive(0, page)
+	d.arrive(1, write)
+	d.m.CallerGone(d.now, 1)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 remember 1 for 10.02
+	//   0.00 forget 1
+}
+
+// Work that hangs: every RPC is answered in time all the same, what was run is refused only if it is idempotent,
+// and cores that come back are used.
+func Example_hang() {
+	d := open(nil)
+	d.arrive(0, read)
+	d.arrive(1, page)
+	d.arrive(2, read)
+	d.arrive(3, page)
+	d.pass(8.1)
+	d.ended(0, rpc.Cancelled)
+	d.ended(1, rpc.Cancelled)
+	d.arrive(4, read)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   1.22 push back 0, last true, after 1.00
+	//   1.22 stop 0
+	//   1.22 push back 2, last true, after 1.00
+	//   1.76 log hold full for a while: true, 1 held
+	//   2.42 abort 1
+	//   2.42 stop 1
+	//   2.42 push back 3, last true, after 1.00
+	//   2.42 log hold full for a while: false, 0 held
+	//   8.10 start 4
+}
+
+// Work that cannot be stopped keeps its place, answered by its due time, and the crowd stays within the limit.
+func Example_unstoppable() {
+	d := open(func(c *rpc.Charter) { c.Machine.Preemption = rpc.Unstoppable })
+	d.arrive(0, read)
+	d.arrive(1, page)
+	d.m.CallerGone(d.now, 0)
+	d.arrive(2, page)
+	d.pass(8)
+	d.ended(1, rpc.OK)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   1.76 log hold full for a while: true, 1 held
+	//   2.42 push back 2, last true, after 1.00
+	//   2.42 log hold full for a while: false, 0 held
+	//   7.98 abort 1
+}
+
+// A non-idempotent RPC's call is repeated only if it never ran; an abandoned one keeps its share for a while.
+func Example_calls() {
+	d := open(nil)
+	d.arrive(0, page)
+	d.arrive(1, page)
+	d.m.NeedsCall(d.now, 0)
+	d.m.NeedsCall(d.now, 1)
+	d.m.Called(d.now, 0, rpc.PushedBack)
+	d.pass(0.1)
+	d.m.Called(d.now, 1, rpc.TimedOut)
+	d.pass(0.3)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 call 0, patience 2.40
+	//   0.00 call 1, patience 2.40
+	//   0.10 abort 1
+	//   0.32 call 0, patience 2.08
+}
+
+// A silent dependency leaves room for the methods that do not call, and a bounded crowd that waits.
+func Example_silentDependency() {
+	d := open(nil)
+	for i := range 4 {
+		d.arrive(i, page)
+		d.m.NeedsCall(d.now, i)
+	}
+	d.arrive(4, read)
+	d.pass(2.42)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 call 0, patience 2.40
+	//   0.00 start 1
+	//   0.00 start 4
+	//   1.22 push back 4, last true, after 1.00
+	//   1.22 stop 4
+	//   1.76 log hold full for a while: true, 2 held
+	//   2.42 abort 0
+	//   2.42 abort 1
+	//   2.42 push back 2, last true, after 1.00
+	//   2.42 push back 3, last true, after 1.00
+	//   2.42 log hold full for a while: false, 0 held
+}
+
+// The notice: callers are told to stay away, what came past the grace is not run, a repeat of what ran is not
+// refused, and all is answered before the stop.
+func Example_leave() {
+	d := open(nil)
+	d.credits = true
+	d.arrive(0, write)
+	d.arrive(1, page)
+	d.m.Leave(d.now, d.now+3)
+	d.pass(1.1)
+	d.arrive(2, read)
+	d.repeat(3, write, 0)
+	d.pass(1.5)
+	// Output:
+	//   0.00 health true
+	//   0.00 remember 0 for 10.02
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 health false
+	//   0.00 credit 0.0
+	//   0.00 log leaving: 0 held, 2 running
+	//   1.10 push back 2, last false, after 1.00
+	//   1.10 abort 3
+	//   2.48 abort 0
+	//   2.48 abort 1
+	//   2.48 stop 1
+}
+
+// Memory: what does not fit beside the rest waits; what never fits is refused at once.
+func Example_memory() {
+	d := open(func(c *rpc.Charter) { c.Machine.MemoryKB = 200 })
+	d.arrive(0, read)
+	d.arrive(1, read)
+	d.arrive(2, read)
+	d.m.Arrive(d.now, 3, read, 0, 0, 0, 60, rpc.None)
+	d.ended(0, rpc.OK)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 push back 3, last false, after 0.00
+	//   0.00 start 2
+}
+
+// A cold app server takes less: the survivable crowd rises with its warmth.
+func Example_cold() {
+	d := open(func(c *rpc.Charter) { c.Machine.Cold, c.Machine.Cores, c.Rules.Crowd, c.Rules.ColdAt = true, 4, 2, 0 })
+	for i := range 5 {
+		d.arrive(i, page)
+	}
+	d.use = 0.5
+	d.pass(2)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 start 2
+	//   1.12 start 3
+	//   1.76 log hold full for a while: true, 1 held
+}
+
+// An app server that becomes slow says so, if the draw has it speak, and is well again soon after.
+func Example_slow() {
+	d := open(nil)
+	for i := range 40 {
+		d.arrive(i, page)
+		d.ended(i, rpc.OK)
+	}
+	d.pass(14)
+	for i := range 4 {
+		d.arrive(40+i, page)
+		d.m.Ended(d.now, 40+i, rpc.OK, 2)
+	}
+	d.pass(8)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 start 2
+	//   0.00 start 3
+	//   0.00 start 4
+	//   0.00 start 5
+	//   0.00 start 6
+	//   0.00 start 7
+	//   0.00 start 8
+	//   0.00 start 9
+	//   0.00 start 10
+	//   0.00 start 11
+	//   0.00 start 12
+	//   0.00 start 13
+	//   0.00 start 14
+	//   0.00 start 15
+	//   0.00 start 16
+	//   0.00 start 17
+	//   0.00 start 18
+	//   0.00 start 19
+	//   0.00 start 20
+	//   0.00 start 21
+	//   0.00 start 22
+	//   0.00 start 23
+	//   0.00 start 24
+	//   0.00 start 25
+	//   0.00 start 26
+	//   0.00 start 27
+	//   0.00 start 28
+	//   0.00 start 29
+	//   0.00 start 30
+	//   0.00 start 31
+	//   0.00 start 32
+	//   0.00 start 33
+	//   0.00 start 34
+	//   0.00 start 35
+	//   0.00 start 36
+	//   0.00 start 37
+	//   0.00 start 38
+	//   0.00 start 39
+	//  14.00 start 40
+	//  14.00 start 41
+	//  14.00 start 42
+	//  14.00 start 43
+	//  14.08 log slow: true, work takes 7.6 times the usual
+	//  16.28 health true
+	//  16.28 log slow: false, work takes 1.0 times the usual
+}
+
+// Odd charters keep the rules: no figures at all, and a deadline shorter than the latency target.
+func Example_odd() {
+	d := open(func(c *rpc.Charter) { *c = rpc.Charter{} })
+	d.arrive(0, read)
+	d.pass(0.1)
+	d = open(func(c *rpc.Charter) { c.Machine.Cores, c.Methods[read].Deadline = 1, 0.5 })
+	d.arrive(0, read)
+	d.arrive(1, read)
+	d.pass(0.6)
+	// Output:
+	//   0.00 health true
+	//   0.00 abort 0
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.48 push back 0, last true, after 0.28
+	//   0.48 stop 0
+	//   0.48 push back 1, last false, after 0.28
+}
