--- /dev/null
+++ b/wire/wire_test.go
@@ -0,0 +1,145 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"strings"
+)
+
+// spy prints what a batch says.
+type spy struct{}
+
+func (spy) Hello(who uint32, seed uint64, params []byte) error {
+	fmt.Printf("hello %d seed %d %s\n", who, seed, params)
+	return nil
+}
+
+func (spy) Order(who uint32, handle uint64, lay float64, repeats uint64, due float64, from uint16, kb float64,
+	class uint16) {
+	fmt.Printf("order %d %x lay %.4f repeats %x due %.3f from %d %.1f kB class %d\n",
+		who, handle, lay, repeats, due, from, kb, class)
+}
+
+func (spy) WoundUp(who uint32, handle uint64, result uint16, took float64) {
+	fmt.Printf("wound up %d %x %d %.4f\n", who, handle, result, took)
+}
+
+func (spy) Stalled(who uint32, handle uint64) { fmt.Printf("stalled %d %x\n", who, handle) }
+
+func (spy) Downstream(who uint32, handle uint64, result uint16, took float64) {
+	fmt.Printf("downstream %d %x %d %.2f\n", who, handle, result, took)
+}
+
+func (spy) Notice(who uint32, at float64)    { fmt.Printf("notice %d %.3f\n", who, at) }
+func (spy) Lapsed(who uint32, handle uint64) { fmt.Printf("lapsed %d %x\n", who, handle) }
+func (spy) Stop(who uint32)                  { fmt.Printf("stop %d\n", who) }
+func (spy) Elapsed(who uint32, mark uint64, n int, stats [4]float64) {
+	fmt.Printf("elapsed %d mark %d %.2f\n", who, mark, stats[:n])
+}
+
+// frame builds a batch of records, each filled up with zeros, and a tail.
+func frame(tail string, records ...string) []byte {
+	body := ""
+	for _, r := range records {
+		r = strings.ReplaceAll(r, " ", "")
+		body += r + strings.Repeat("0", 2*eventSize-len(r))
+	}
+	size := batchHead + eventSize*len(records) + len(tail)
+	b, err := hex.DecodeString(fmt.Sprintf("%08x%08x4020d3126e978d50%s%x", len(records), size, body, tail))
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func play(b []byte) {
+	f, err := ReadFrame(bytes.NewReader(b), nil)
+	if err == nil {
+		err = Decode(f, spy{})
+	}
+	if err != nil {
+		fmt.Println(err)
+	}
+}
+
+func Example_events() {
+	play(frame("{}",
+		"01 00000003 0000000000000009 00000000 00000002",
+		"02 00000003 000a4b7f5d3a91c4 3f5e4f765fd8adac 01 3f200000 3f889374bc6a7efa 00036ff20e6f2b19"+
+			"40214df3b645a1cb 91f03b7c55d20a64 0011 00000000 41c40000 0002",
+		"03 00000003 000a4b7f5d3a91c4 00c8 3f92f1a9fbe76c8b",
+		"04 00000003 000a4b7f5d3a91c4",
+		"05 00000003 000a4b7f5d3a91c4 01f8 3fb47ae147ae147b",
+		"06 00000003 4027d3126e978d50",
+		"07 00000005 00036ff20e6f2b19",
+		"08 00000003 000000000000004d 04 3f1eb852 40400000 3ed1eb85 42f00000",
+		"09 00000003"))
+	// Output:
+	// hello 3 seed 9 {}
+	// order 3 a4b7f5d3a91c4 lay 0.0019 repeats 36ff20e6f2b19 due 8.652 from 17 24.5 kB class 2
+	// wound up 3 a4b7f5d3a91c4 200 0.0185
+	// stalled 3 a4b7f5d3a91c4
+	// downstream 3 a4b7f5d3a91c4 504 0.08
+	// notice 3 11.912
+	// lapsed 5 36ff20e6f2b19
+	// elapsed 3 mark 77 [0.62 3.00 0.41 120.00]
+	// stop 3
+}
+
+func Example_malformed() {
+	play(frame("", "63 00000003"))
+	play(frame("{}", "01 00000003 0000000000000009 00000001 00000002"))
+	play(frame("", "09 00000003")[:40])
+	play(frame("")[:7])
+	b := frame("", "09 00000003")
+	b[7]--
+	play(b)
+	// Output:
+	// wire: unknown event code 99 in record 0
+	// wire: record 0 points outside the tail
+	// wire: short frame
+	// wire: short header
+	// wire: a frame of 87 bytes cannot hold 1 records
+}
+
+func Example_reply() {
+	var r Reply
+	const h = 0xa4b7f5d3a91c4
+	r.Take(3, h)
+	r.Remind(3, 0.5, 77)
+	r.Debug(5, "two servers known")
+	r.Busy(3, h, true, 0.25)
+	r.Fail(3, h)
+	r.Interrupt(3, h)
+	r.Evict(3, h)
+	r.Join(3, h)
+	r.Dial(3, h, 0.08)
+	r.RecordKey(3, h, 8)
+	r.Health(3, true, false)
+	r.Publish(3, 0.25)
+	var b bytes.Buffer
+	if _, err := r.WriteTo(&b); err != nil {
+		fmt.Println(err)
+	}
+	fmt.Printf("%x\n", b.Next(8))
+	for range 12 {
+		fmt.Printf("%x\n", b.Next(cmdSize))
+	}
+	fmt.Printf("%s\n", b.Bytes())
+	// Output:
+	// 0000000c00000139
+	// 0100000003000a4b7f5d3a91c40000000000000000000000
+	// 0d000000033fe0000000000000000000000000004d000000
+	// 0e0000000500000000000000110000000000000000000000
+	// 0200000003000a4b7f5d3a91c4013fd00000000000000000
+	// 0300000003000a4b7f5d3a91c40000000000000000000000
+	// 0400000003000a4b7f5d3a91c40000000000000000000000
+	// 0800000003000a4b7f5d3a91c40000000000000000000000
+	// 0900000003000a4b7f5d3a91c40000000000000000000000
+	// 0500000003000a4b7f5d3a91c43fb47ae147ae147b000000
+	// 0700000003000a4b7f5d3a91c44020000000000000000000
+	// 0a0000000301000000000000000000000000000000000000
+	// 0b000000033e800000000000000000000000000000000000
+	// two servers known
+}
