--- a/logic/logic.go
+++ b/logic/logic.go
@@ -696,6 +696,7 @@
 	binary.BigEndian.PutUint64(b[8:], m.seed)
 	h := fnv.New64a()
 	h.Write(b[:])
+	h.Write(b[:]) // again, as the last bytes written hardly reach the high bits
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -314,6 +314,7 @@
 	//  14.00 start 7
 	//  14.00 start 8
 	//  14.00 start 9
+	//  14.08 health false
 	//  14.08 log slow: true, work takes 7.6 times the usual
 	//  16.28 health true
 	//  16.28 log slow: false, work takes 1.0 times the usual
