Follow how long calls take, so that the shared dependency is not crowded

Change: calls that take three times the best median, or are abandoned, cut the calls at a time by a twentieth, others add a tenth; never below one.

It guards against any layer below that slows when crowded; it could harm where calls differ tenfold by nature.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -88,7 +88,10 @@
 	lingers      []float64
 	out, outMean float64 // calls in the dependency's hands, and their mean
 	outAt        float64
-	slow         bool // a slow spell has been seen, and maybe said
+	callLimit    float64 // of calls at a time
+	callTook     hist
+	callBest     float64 // the best median of late
+	slow         bool    // a slow spell has been seen, and maybe said
 	leaving      bool
 	noticed      float64
 	stop         float64
@@ -111,7 +114,7 @@
 	if c.Machine.CallsOut <= 0 {
 		m.Machine.CallsOut = 1
 	}
-	m.outAt = now
+	m.outAt, m.callLimit, m.callBest = now, m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
 	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
@@ -512,7 +515,7 @@
 	share, span := m.Machine.CallsOut, max(m.Machine.CallsSpan, 1)
 	m.outMean += (m.out - m.outMean) * (1 - math.Exp((m.outAt-m.now)/span))
 	m.outAt = m.now
-	for m.out = m.callsOut(); len(m.waiting) > 0; m.out = m.callsOut() {
+	for m.out = m.callsOut(); len(m.waiting) > 0 && m.out+1 <= m.callLimit; m.out = m.callsOut() {
 		i := m.waiting[0]
 		left := m.goodUntil(&m.rpcs[i]) - m.now
 		if left <= 0 {
@@ -532,12 +535,29 @@
 	}
 }
 
+// called follows the layer below: calls that take three times the best median, or are abandoned, cut the calls at
+// a time, others let them grow. The share is what it survives, not where it works well: crowded, it slows down
+// and everybody waits. A twentieth and a tenth give
+// about three calls at a time while one in twenty is that long.
+func (m *Module) called(took float64, bad bool) {
+	m.callTook.add(took)
+	if median := m.callTook.median(); median > 0 {
+		m.callBest = min(m.callBest, median)
+	}
+	if bad || took > 3*m.callBest {
+		m.callLimit = max(0.95*m.callLimit, 1)
+	} else {
+		m.callLimit = min(m.callLimit+0.1, m.cores())
+	}
+}
+
 func (m *Module) callsOut() float64 { return float64(m.count[calling] + len(m.lingers)) }
 
 // Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are
 // all; a call that may have taken effect is repeated only for an idempotent RPC.
-func (m *Module) Called(now float64, i int, how rpc.Outcome) {
+func (m *Module) Called(now float64, i int, how rpc.Outcome, took float64) {
 	m.now = now
+	m.called(took, how == rpc.TimedOut)
 	if w := &m.rpcs[i]; w.state == calling {
 		m.move(i, stalled)
 		if how == rpc.TimedOut { // an abandoned call stays in the dependency's hands for a while
@@ -593,6 +613,8 @@
 func (m *Module) halve() {
 	m.halved = m.now
 	m.looks++
+	m.callTook.halve()
+	m.callBest *= 1.02 // it is forgotten over minutes
 	m.arrived, m.refused = m.arrived/2, m.refused/2
 	for k := range m.records {
 		r := &m.records[k]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -190,9 +190,9 @@
 	d.arrive(1, page)
 	d.m.NeedsCall(d.now, 0)
 	d.m.NeedsCall(d.now, 1)
-	d.m.Called(d.now, 0, rpc.PushedBack)
+	d.m.Called(d.now, 0, rpc.PushedBack, 0.1)
 	d.pass(0.1)
-	d.m.Called(d.now, 1, rpc.TimedOut)
+	d.m.Called(d.now, 1, rpc.TimedOut, 0.1)
 	d.pass(0.3)
 	// Output:
 	//   0.00 health true
@@ -338,3 +338,31 @@
 	//   0.48 stop 0
 	//   0.48 push back 1, last false, after 0.28
 }
+
+// A dependency that slows down gets fewer calls at a time, and more once it is well.
+func Example_crowdedDependency() {
+	d := open(func(c *rpc.Charter) { c.Machine.CallsOut = 4 })
+	d.arrive(0, page)
+	d.arrive(1, page)
+	for _, took := range []float64{0.1, 0.1, 0.1, 0.6, 0.1} {
+		d.m.NeedsCall(d.now, 0)
+		d.m.NeedsCall(d.now, 1)
+		d.m.Called(d.now, 0, rpc.OK, took)
+		d.m.Called(d.now, 1, rpc.OK, 0.1)
+		d.now += 0.1
+	}
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 call 0, patience 2.40
+	//   0.00 call 1, patience 2.40
+	//   0.10 call 0, patience 2.30
+	//   0.10 call 1, patience 2.30
+	//   0.20 call 0, patience 2.20
+	//   0.20 call 1, patience 2.20
+	//   0.30 call 0, patience 2.10
+	//   0.30 call 1, patience 2.10
+	//   0.40 call 0, patience 2.00
+	//   0.40 call 1, patience 2.00
+}
