--- a/logic/logic.go
+++ b/logic/logic.go
@@ -396,7 +396,7 @@
 			m.do.Stop(i)
 		}
 	case calling:
-		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
+		m.called(0, true)
 		m.move(i, closing)
 	case stalled:
 		m.move(i, closing)
@@ -539,12 +539,16 @@
 // a time, others let them grow. The share is what it survives, not where it works well: crowded, it slows down
 // and everybody waits. A twentieth and a tenth give
 // about three calls at a time while one in twenty is that long.
-func (m *Module) called(took float64, bad bool) {
-	m.callTook.add(took)
+func (m *Module) called(took float64, abandoned bool) {
+	if abandoned { // it stays in the dependency's hands for a while
+		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
+	} else {
+		m.callTook.add(took)
+	}
 	if median := m.callTook.median(); median > 0 {
 		m.callBest = min(m.callBest, median)
 	}
-	if bad || took > 3*m.callBest {
+	if abandoned || took > 3*m.callBest {
 		m.callLimit = max(0.95*m.callLimit, 1)
 	} else {
 		m.callLimit = min(m.callLimit+0.1, m.cores())
@@ -557,12 +561,9 @@
 // all; a call that may have taken effect is repeated only for an idempotent RPC.
 func (m *Module) Called(now float64, i int, how rpc.Outcome, took float64) {
 	m.now = now
-	m.called(took, how == rpc.TimedOut)
 	if w := &m.rpcs[i]; w.state == calling {
 		m.move(i, stalled)
-		if how == rpc.TimedOut { // an abandoned call stays in the dependency's hands for a while
-			m.lingers = append(m.lingers, now+m.Machine.Linger)
-		}
+		m.called(took, how == rpc.TimedOut)
 		again := how.NeverRan() || m.Methods[w.method].Kind == rpc.Idempotent
 		if how == rpc.OK {
 			m.move(i, running)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -348,7 +348,7 @@
 		d.m.NeedsCall(d.now, 0)
 		d.m.NeedsCall(d.now, 1)
 		d.m.Called(d.now, 0, rpc.OK, took)
-		d.m.Called(d.now, 1, rpc.OK, 0.1)
+		d.m.Called(d.now, 1, rpc.OK, took)
 		d.now += 0.1
 	}
 	// Output:
