--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -344,12 +344,12 @@
 	d := open(func(c *rpc.Charter) { c.Machine.CallsOut = 4 })
 	d.arrive(0, page)
 	d.arrive(1, page)
-	for _, took := range []float64{0.1, 0.1, 0.1, 0.6, 0.1} {
+	for _, took := range []float64{0.1, 0.6, 0.1, 0.1} {
 		d.m.NeedsCall(d.now, 0)
 		d.m.NeedsCall(d.now, 1)
+		d.now += 0.1
 		d.m.Called(d.now, 0, rpc.OK, took)
 		d.m.Called(d.now, 1, rpc.OK, took)
-		d.now += 0.1
 	}
 	// Output:
 	//   0.00 health true
@@ -360,9 +360,7 @@
 	//   0.10 call 0, patience 2.30
 	//   0.10 call 1, patience 2.30
 	//   0.20 call 0, patience 2.20
-	//   0.20 call 1, patience 2.20
+	//   0.30 call 1, patience 2.10
 	//   0.30 call 0, patience 2.10
 	//   0.30 call 1, patience 2.10
-	//   0.40 call 0, patience 2.00
-	//   0.40 call 1, patience 2.00
 }
