Push back what its caller will have given up on before it is done

It guards against any caller that is less patient than the method's deadline says; it could harm where many callers share one connection and differ in habits.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -47,6 +47,13 @@
 type caller struct {
 	heard float64
 	out   int
+	waits []patience // by method
+}
+
+// patience is the age at which a caller's RPCs have been given up on, and how many times running.
+type patience struct {
+	age  float64
+	seen int
 }
 
 // record is what has been seen of a method: run times of late and over a longer span, arrivals and ok in
@@ -155,7 +162,7 @@
 		m.rpcs = append(m.rpcs, work{})
 	}
 	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: math.Inf(-1)})
+		m.callers = append(m.callers, caller{heard: math.Inf(-1), waits: make([]patience, len(m.Methods))})
 	}
 	if method >= len(m.Methods) { // nothing is known of it, so nothing may be run
 		m.do.Abort(i)
@@ -350,6 +357,9 @@
 // are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
+	if p := m.callers[w.caller].waits[w.method]; p.seen >= 4 {
+		until = min(until, w.arrival+p.age)
+	}
 	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
 		m.now+m.records[w.method].late.median() > until
 }
@@ -473,6 +483,9 @@
 		return
 	}
 	if how == rpc.OK && w.state == running {
+		if p := &m.callers[w.caller].waits[w.method]; now-w.arrival > 1.2*p.age {
+			p.seen = 0 // so it waits longer
+		}
 		m.timed(w, took)
 		if now <= w.arrival+m.Methods[w.method].Target {
 			m.records[w.method].ok++
@@ -489,6 +502,14 @@
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
+	if w := &m.rpcs[i]; w.state.owed() {
+		// Within a fifth it is the same habit; another age starts the count afresh.
+		p, age := &m.callers[w.caller].waits[w.method], now-w.arrival
+		if math.Abs(age-p.age) > 0.2*p.age {
+			*p = patience{age: age}
+		}
+		p.seen++
+	}
 	m.unwind(i)
 	m.pump()
 }
