Simplify the bookkeeping of calls and of what is usual

A gap after each call keeps a share below one, in place of a running mean; the usual run time is a slow mean of medians, in place of a second histogram.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -123,9 +123,9 @@
 	}
 }
 
-func (h *host) Downstream(who uint32, handle uint64, result uint16, took float64) {
+func (h *host) Downstream(who uint32, handle uint64, result uint16, _ float64) {
 	if g, i, ok := h.find(who, handle); ok {
-		g.module.Called(h.now, i, rpc.Outcome(result), took)
+		g.module.Called(h.now, i, rpc.Outcome(result))
 	}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,10 +37,11 @@
 
 // work is one RPC in hand.
 type work struct {
-	state                   state
-	method, caller, tries   int // tries of the call in need
-	arrival, began, due, kb float64
-	key                     float64 // until when its token is remembered, 0 if it is not
+	state                 state
+	method, caller, tries int // tries of the call in need
+	arrival, due, kb      float64
+	began, dialed         float64 // when it was started, and its call placed
+	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
 // caller is one caller as this app server knows it: when it last sent something, its unanswered RPCs here.
@@ -56,11 +57,10 @@
 	seen int
 }
 
-// record is what has been seen of a method: run times of late and over a longer span, arrivals and ok in
-// time.
+// record is what has been seen of a method: run times of late, the usual median, arrivals, ok in time.
 type record struct {
-	late, usual hist
-	asked, ok   float64
+	late             hist
+	usual, asked, ok float64
 }
 
 // Module decides for one app server.
@@ -77,7 +77,6 @@
 	keys         []float64 // ends of remembered tokens
 	callers      []caller
 	records      []record
-	looks        int // halvings of what is measured
 	halved       float64
 	arrived      float64 // arrivals and refusals of late
 	refused      float64
@@ -93,9 +92,8 @@
 	use          float64 // of the cores, of late
 	gauge        int     // where that gauge stands, -1 if there is none
 	lingers      []float64
-	out, outMean float64 // calls in the dependency's hands, and their mean
-	outAt        float64
-	callLimit    float64 // of calls at a time
+	callLimit    float64 // of calls at a time, and when the next may start where the share is below 1
+	nextCall     float64
 	callTook     hist
 	callBest     float64 // the best median of late
 	slow         bool    // a slow spell has been seen, and maybe said
@@ -118,10 +116,12 @@
 	if c.Machine.MemoryKB <= 0 {
 		m.Machine.MemoryKB = math.Inf(1)
 	}
-	if c.Machine.CallsOut <= 0 {
+	if c.Machine.Below != "one_for_all" {
+		m.Machine.CallsOut = math.Inf(1) // no share is set for a tier of app servers
+	} else if c.Machine.CallsOut <= 0 {
 		m.Machine.CallsOut = 1
 	}
-	m.outAt, m.callLimit, m.callBest = now, m.cores(), math.Inf(1)
+	m.callLimit, m.callBest = m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
 	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
@@ -279,9 +279,9 @@
 	late, usual := 0.0, 0.0
 	for k := range m.records {
 		r := &m.records[k]
-		if l, u := r.late.median(), r.usual.median(); l > 0 && u > 0 {
+		if l := r.late.median(); l > 0 && r.usual > 0 {
 			late += r.late.sum * l
-			usual += r.late.sum * u
+			usual += r.late.sum * r.usual
 		}
 	}
 	if usual == 0 {
@@ -403,14 +403,14 @@
 		m.move(i, absent)
 	case running:
 		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
-		m.timed(w, m.now-w.began)
+		m.records[w.method].late.add(m.now - w.began)
 		m.move(i, adrift)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
 		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
 			m.do.Stop(i)
 		}
 	case calling:
-		m.called(0, true)
+		m.called(w, true)
 		m.move(i, closing)
 	case stalled:
 		m.move(i, closing)
@@ -474,11 +474,6 @@
 	return m.Machine.RunFactor
 }
 
-func (m *Module) timed(w *work, took float64) {
-	m.records[w.method].late.add(took)
-	m.records[w.method].usual.add(took)
-}
-
 // Ended takes note of the end of a run, or of an RPC that followed another.
 func (m *Module) Ended(now float64, i int, how rpc.Outcome, took float64) {
 	m.now = now
@@ -490,7 +485,7 @@
 		if p := &m.callers[w.caller].waits[w.method]; now-w.arrival > 1.2*p.age {
 			p.seen = 0 // so it waits longer
 		}
-		m.timed(w, took)
+		m.records[w.method].late.add(took)
 		if now <= w.arrival+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
@@ -532,29 +527,24 @@
 	m.pump()
 }
 
-// place starts calls, longest waiting first, within this app server's share of what the dependency
-// survives, abandoned calls included. A share below 1 is kept as a mean, by gaps between calls and by their
-// patience.
+// place starts calls, longest waiting first, within this app server's share of what the dependency survives,
+// abandoned calls included. A share below 1 is kept as a mean, by gaps between calls.
 func (m *Module) place() {
 	m.lingers = slices.DeleteFunc(m.lingers, func(end float64) bool { return end <= m.now })
-	share, span := m.Machine.CallsOut, max(m.Machine.CallsSpan, 1)
-	m.outMean += (m.out - m.outMean) * (1 - math.Exp((m.outAt-m.now)/span))
-	m.outAt = m.now
-	for m.out = m.callsOut(); len(m.waiting) > 0 && m.out+1 <= m.callLimit; m.out = m.callsOut() {
+	most := min(m.callLimit, max(1, m.Machine.CallsOut))
+	for len(m.waiting) > 0 && float64(m.count[calling]+len(m.lingers)+1) <= most && m.now >= m.nextCall {
 		i := m.waiting[0]
-		left := m.goodUntil(&m.rpcs[i]) - m.now
+		w := &m.rpcs[i]
+		left := m.goodUntil(w) - m.now
 		if left <= 0 {
 			m.giveUp(i)
 			continue
 		}
-		if m.Machine.Below == "one_for_all" {
-			// Four fifths, as a call in hand goes on after the mean has been read.
-			if m.out+1 > max(1, share) || m.outMean > 0.8*share {
-				return
-			}
-			left = min(left, share*span)
+		if share := m.Machine.CallsOut; share < 1 { // a silent call must not outlast the share of the span
+			left = min(left, max(share*m.Machine.CallsSpan-m.Machine.Linger, margin))
 		}
-		m.rpcs[i].tries++
+		w.tries++
+		w.dialed = m.now
 		m.do.Call(i, left)
 		m.move(i, calling)
 	}
@@ -564,8 +554,10 @@
 // a time, others let them grow. The share is what it survives, not where it works well: crowded, it slows down
 // and everybody waits. A twentieth and a tenth give
 // about three calls at a time while one in twenty is that long.
-func (m *Module) called(took float64, abandoned bool) {
+func (m *Module) called(w *work, abandoned bool) {
+	took := m.now - w.dialed
 	if abandoned { // it stays in the dependency's hands for a while
+		took += m.Machine.Linger
 		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
 	} else {
 		m.callTook.add(took)
@@ -578,17 +570,18 @@
 	} else {
 		m.callLimit = min(m.callLimit+0.1, m.cores())
 	}
+	if share := m.Machine.CallsOut; share < 1 {
+		m.nextCall = m.now + took*(1/share-1)
+	}
 }
 
-func (m *Module) callsOut() float64 { return float64(m.count[calling] + len(m.lingers)) }
-
 // Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are
 // all; a call that may have taken effect is repeated only for an idempotent RPC.
-func (m *Module) Called(now float64, i int, how rpc.Outcome, took float64) {
+func (m *Module) Called(now float64, i int, how rpc.Outcome) {
 	m.now = now
 	if w := &m.rpcs[i]; w.state == calling {
 		m.move(i, stalled)
-		m.called(took, how == rpc.TimedOut)
+		m.called(w, how == rpc.TimedOut)
 		again := how.NeverRan() || m.Methods[w.method].Kind == rpc.Idempotent
 		if how == rpc.OK {
 			m.move(i, running)
@@ -638,17 +631,18 @@
 
 func (m *Module) halve() {
 	m.halved = m.now
-	m.looks++
 	m.callTook.halve()
 	m.callBest *= 1.02 // it is forgotten over minutes
 	m.arrived, m.refused = m.arrived/2, m.refused/2
 	for k := range m.records {
 		r := &m.records[k]
 		r.asked, r.ok = r.asked/2, r.ok/2
-		r.late.halve()
-		if m.looks%usualSpans == 0 {
-			r.usual.halve()
+		if l := r.late.median(); r.usual == 0 {
+			r.usual = l
+		} else if l > 0 {
+			r.usual += (l - r.usual) / usualSpans
 		}
+		r.late.halve()
 	}
 }
 
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -190,9 +190,9 @@
 	d.arrive(1, page)
 	d.m.NeedsCall(d.now, 0)
 	d.m.NeedsCall(d.now, 1)
-	d.m.Called(d.now, 0, rpc.PushedBack, 0.1)
+	d.m.Called(d.now, 0, rpc.PushedBack)
 	d.pass(0.1)
-	d.m.Called(d.now, 1, rpc.TimedOut, 0.1)
+	d.m.Called(d.now, 1, rpc.TimedOut)
 	d.pass(0.3)
 	// Output:
 	//   0.00 health true
@@ -347,9 +347,9 @@
 	for _, took := range []float64{0.1, 0.6, 0.1, 0.1} {
 		d.m.NeedsCall(d.now, 0)
 		d.m.NeedsCall(d.now, 1)
-		d.now += 0.1
-		d.m.Called(d.now, 0, rpc.OK, took)
-		d.m.Called(d.now, 1, rpc.OK, took)
+		d.now += took
+		d.m.Called(d.now, 0, rpc.OK)
+		d.m.Called(d.now, 1, rpc.OK)
 	}
 	// Output:
 	//   0.00 health true
@@ -359,8 +359,26 @@
 	//   0.00 call 1, patience 2.40
 	//   0.10 call 0, patience 2.30
 	//   0.10 call 1, patience 2.30
-	//   0.20 call 0, patience 2.20
-	//   0.30 call 1, patience 2.10
-	//   0.30 call 0, patience 2.10
-	//   0.30 call 1, patience 2.10
+	//   0.70 call 0, patience 1.70
+	//   0.80 call 1, patience 1.60
+	//   0.80 call 0, patience 1.60
+	//   0.80 call 1, patience 1.60
+}
+
+// A share below one is kept as a mean: gaps between calls, and a patience that fits the span.
+func Example_smallShare() {
+	d := open(func(c *rpc.Charter) { c.Machine.CallsOut = 0.25 })
+	d.arrive(0, page)
+	d.arrive(1, page)
+	d.m.NeedsCall(d.now, 0)
+	d.m.NeedsCall(d.now, 1)
+	d.pass(0.1)
+	d.m.Called(d.now, 0, rpc.OK)
+	d.pass(0.4)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 call 0, patience 1.05
+	//   0.40 call 1, patience 1.05
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -87,12 +87,10 @@
 
 // Rules are the figures of the rules that each app server keeps.
 type Rules struct {
-	Crowd   float64 `json:"overloadFactor"`
-	Grace   float64 `json:"stopSendingWithinS"`
-	ColdAt  float64 `json:"startCapacity"`
-	WarmIn  float64 `json:"rampTimeS"`
-	Answer  float64 `json:"graceToAnswerS"`
-	CrowdIn float64 `json:"fallS"`
+	Crowd  float64 `json:"overloadFactor"`
+	Grace  float64 `json:"stopSendingWithinS"`
+	ColdAt float64 `json:"startCapacity"`
+	WarmIn float64 `json:"rampTimeS"`
 }
 
 // What an arrival may repeat, besides an RPC that is still in hand.
