--- a/logic/logic.go
+++ b/logic/logic.go
@@ -267,28 +267,10 @@
 }
 
 // swamped tells whether so many are turned away that another app server would most likely do the same. Then
-// callers are asked not to go on through their lists: reading what comes straight back takes the cores.
-// Three in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server
-// alone is short; the slow one is told apart by its run times.
-func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && m.slowness() < 2 }
-
-// slowness is how many times as long as it used to work takes here. Overload alone hardly lengthens it, as
-// the cores are kept from being crowded; so where it is high the trouble is this app server's own, whatever
-// it is.
-func (m *Module) slowness() float64 {
-	late, usual := 0.0, 0.0
-	for k := range m.records {
-		r := &m.records[k]
-		if l := r.late.median(); l > 0 && r.usual > 0 {
-			late += r.late.sum * l
-			usual += r.late.sum * r.usual
-		}
-	}
-	if usual == 0 {
-		return 1
-	}
-	return late / usual
-}
+// callers are asked not to go on through their lists: reading what comes straight back takes the cores. Three
+// in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server alone is
+// short of room; sparing one that has become slow moved nothing.
+func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) }
 
 // delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the
 // reading wait of the latest arrival.
@@ -714,12 +696,18 @@
 	}
 }
 
-// checkHealth says so to health checks while work takes three times what is usual; at twice, overload days
-// lose by it. A fleet that is slow as a whole must not empty the list, so only every second app server
-// speaks up, by a draw for each spell. One that is avoided runs little, forgets its slow runs and is well
-// again.
+// checkHealth says so to health checks while work takes three times as long as it used to, whatever the cause;
+// at twice, overload days lose by it. A fleet that is slow as a whole must not empty the list, so only every
+// second app server speaks up, by a draw for each spell. One that is avoided forgets its slow runs and is well.
 func (m *Module) checkHealth() {
-	slow := m.slowness() > 3
+	late, usual := 0.0, 0.0
+	for k := range m.records {
+		if r := &m.records[k]; r.usual > 0 && r.late.median() > 0 {
+			late += r.late.sum * r.late.median()
+			usual += r.late.sum * r.usual
+		}
+	}
+	slow := late > 3*usual
 	if slow == m.slow || m.leaving {
 		return
 	}
@@ -727,7 +715,7 @@
 	if !slow || m.chance() < 0.5 {
 		m.do.Health(!slow)
 	}
-	m.do.Log(fmt.Sprintf("slow: %v, work takes %.1f times the usual", slow, m.slowness()))
+	m.do.Log(fmt.Sprintf("work takes three times the usual: %v", slow))
 }
 
 // chance draws a number from 0 to 1.
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -315,9 +315,9 @@
 	//  14.00 start 8
 	//  14.00 start 9
 	//  14.08 health false
-	//  14.08 log slow: true, work takes 7.6 times the usual
+	//  14.08 log work takes three times the usual: true
 	//  16.28 health true
-	//  16.28 log slow: false, work takes 1.0 times the usual
+	//  16.28 log work takes three times the usual: false
 }
 
 // Odd charters keep the rules: no figures at all, and a deadline shorter than the latency target.
