--- a/logic/logic.go
+++ b/logic/logic.go
@@ -532,10 +532,10 @@
 	}
 }
 
-// called follows the layer below: calls that take three times the best median, or are abandoned, cut the calls at
-// a time, others let them grow. The share is what it survives, not where it works well: crowded, it slows down
-// and everybody waits. A twentieth and a tenth give
-// about three calls at a time while one in twenty is that long.
+// called follows the layer below: calls that take three times the best median, or are abandoned, cut the
+// calls at a time, others let them grow. The share is what it survives, not where it works well: crowded, it
+// slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in twenty
+// is that long; harder cuts starved the methods that call.
 func (m *Module) called(w *work, abandoned bool) {
 	took := m.now - w.dialed
 	if abandoned { // it stays in the dependency's hands for a while
@@ -614,7 +614,7 @@
 func (m *Module) halve() {
 	m.halved = m.now
 	m.callTook.halve()
-	m.callBest *= 1.02 // it is forgotten over minutes
+	m.callBest *= 1.02 // forgotten over minutes
 	m.arrived, m.refused = m.arrived/2, m.refused/2
 	for k := range m.records {
 		r := &m.records[k]
