--- a/logic/logic.go
+++ b/logic/logic.go
@@ -346,8 +346,8 @@
 		m.now+runMargin*m.records[w.method].late.median() > until
 }
 
-// runMargin: about two runs in three end within one and a half times the median. The median alone, or twice it,
-// serves overload days worse on two deployments of three.
+// runMargin: about two runs in three end within one and a half times the median. The median alone, or twice
+// it, serves overload days worse on two deployments of three.
 const runMargin = 1.5
 
 // giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
@@ -534,8 +534,8 @@
 
 // called follows the layer below: calls that take three times the best median, or are abandoned, cut the
 // calls at a time, others let them grow. The share is what it survives, not where it works well: crowded, it
-// slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in twenty
-// is that long; harder cuts starved the methods that call.
+// slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in
+// twenty is that long; harder cuts starved the methods that call.
 func (m *Module) called(w *work, abandoned bool) {
 	took := m.now - w.dialed
 	if abandoned { // it stays in the dependency's hands for a while
@@ -696,9 +696,10 @@
 	}
 }
 
-// checkHealth says so to health checks while work takes three times as long as it used to, whatever the cause;
-// at twice, overload days lose by it. A fleet that is slow as a whole must not empty the list, so only every
-// second app server speaks up, by a draw for each spell. One that is avoided forgets its slow runs and is well.
+// checkHealth says so to health checks while work takes three times as long as it used to, whatever the
+// cause; at twice, overload days lose by it. A fleet that is slow as a whole must not empty the list, so
+// only every second app server speaks up, by a draw for each spell. One that is avoided forgets its slow
+// runs and is well.
 func (m *Module) checkHealth() {
 	late, usual := 0.0, 0.0
 	for k := range m.records {
