--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,7 +9,6 @@
 package logic
 
 import (
-	"encoding/binary"
 	"fmt"
 	"hash/fnv"
 	"math"
@@ -66,40 +65,34 @@
 // Module decides for one app server.
 type Module struct {
 	rpc.Charter
-	do           rpc.Actions
-	seed, draws  uint64
-	now, started float64
-	rpcs         []work
-	count        [states]int
-	hold         []int // held RPCs, oldest first
-	waiting      []int // stalled RPCs, longest waiting first
-	kb           float64
-	keys         []float64 // ends of remembered tokens
-	callers      []caller
-	records      []record
-	halved       float64
-	arrived      float64 // arrivals and refusals of late
-	refused      float64
-	dt, mark     float64 // d_t, and the delay past which arrivals are refused
-	pool, credit float64
-	full         bool // some caller had its full credit out since the last update
-	updated      float64
-	readWait     float64 // of the last arrival, and when that was
-	readAt       float64
-	over         float64 // since when the delay has stood past the mark, 0 if it does not
-	newest       bool    // the hold has stood full for a while
-	limit        float64 // of RPCs on the cores
-	use          float64 // of the cores, of late
-	gauge        int     // where that gauge stands, -1 if there is none
-	lingers      []float64
-	callLimit    float64 // of calls at a time, and when the next may start where the share is below 1
-	nextCall     float64
-	callTook     hist
-	callBest     float64 // the best median of late
-	slow         bool    // a slow spell has been seen, and maybe said
-	leaving      bool
-	noticed      float64
-	stop         float64
+	do                  rpc.Actions
+	seed, draws         uint64
+	now, started        float64
+	rpcs                []work
+	count               [states]int
+	hold, waiting       []int // held RPCs, oldest first; stalled ones, longest waiting first
+	kb                  float64
+	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
+	callers             []caller
+	records             []record
+	halved              float64
+	arrived, refused    float64 // of late
+	dt, mark            float64 // d_t, and the delay past which arrivals are refused
+	pool, credit        float64
+	full                bool // some caller had its full credit out since the last update
+	updated             float64
+	readWait, readAt    float64 // of the last arrival, and when that was
+	over                float64 // since when the delay has stood past the mark, 0 if it does not
+	newest              bool    // the hold has stood full for a while
+	limit               float64 // of RPCs on the cores
+	use                 float64 // of the cores, of late
+	gauge               int     // where that gauge stands, -1 if there is none
+	callLimit, nextCall float64 // calls at a time; when the next may start where the share is below 1
+	callTook            hist
+	callBest            float64 // the best median of late
+	slow                bool    // a slow spell has been seen, and maybe said
+	leaving             bool
+	noticed, stop       float64
 }
 
 // tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a
@@ -378,11 +371,9 @@
 func (m *Module) unwind(i int) {
 	w := &m.rpcs[i]
 	switch w.state {
-	case held:
+	case held, following:
 		m.forget(i)
 		m.move(i, absent)
-	case following:
-		m.move(i, absent)
 	case running:
 		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
 		m.records[w.method].late.add(m.now - w.began)
@@ -391,10 +382,10 @@
 		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
 			m.do.Stop(i)
 		}
-	case calling:
-		m.called(w, true)
-		m.move(i, closing)
-	case stalled:
+	case stalled, calling:
+		if w.state == calling {
+			m.called(w, true)
+		}
 		m.move(i, closing)
 	}
 }
@@ -722,12 +713,8 @@
 // chance draws a number from 0 to 1.
 func (m *Module) chance() float64 {
 	m.draws++
-	var b [16]byte
-	binary.BigEndian.PutUint64(b[:], m.draws)
-	binary.BigEndian.PutUint64(b[8:], m.seed)
 	h := fnv.New64a()
-	h.Write(b[:])
-	h.Write(b[:]) // again, as the last bytes written hardly reach the high bits
+	fmt.Fprint(h, m.draws, m.seed, m.draws)
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
