--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,6 +40,7 @@
 	method, caller, tries int // tries of the call in need
 	arrival, due, kb      float64
 	began, dialed         float64 // when it was started, and its call placed
+	extra                 bool    // its call is past the whole part of the share
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
@@ -87,7 +88,7 @@
 	limit               float64 // of RPCs on the cores
 	use                 float64 // of the cores, of late
 	gauge               int     // where that gauge stands, -1 if there is none
-	callLimit, nextCall float64 // calls at a time; when the next may start where the share is below 1
+	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
 	callTook            hist
 	callBest            float64 // the best median of late
 	slow                bool    // a slow spell has been seen, and maybe said
@@ -454,6 +455,9 @@
 	if w.state == absent || w.state == held {
 		return
 	}
+	if w.state == calling {
+		m.called(w, true)
+	}
 	if how == rpc.OK && w.state == running {
 		if p := &m.callers[w.caller].waits[w.method]; now-w.arrival > 1.2*p.age {
 			p.seen = 0 // so it waits longer
@@ -501,11 +505,17 @@
 }
 
 // place starts calls, longest waiting first, within this app server's share of what the dependency survives,
-// abandoned calls included. A share below 1 is kept as a mean, by gaps between calls.
+// abandoned calls included. What the share is past a whole number is kept as a mean: one call more at times,
+// with gaps between, and with a patience that the span can bear should it stay silent.
 func (m *Module) place() {
 	m.lingers = slices.DeleteFunc(m.lingers, func(end float64) bool { return end <= m.now })
-	most := min(m.callLimit, max(1, m.Machine.CallsOut))
-	for len(m.waiting) > 0 && float64(m.count[calling]+len(m.lingers)+1) <= most && m.now >= m.nextCall {
+	whole, part := math.Modf(m.Machine.CallsOut)
+	for len(m.waiting) > 0 {
+		out := float64(m.count[calling] + len(m.lingers) + 1)
+		extra := out > whole
+		if out > m.callLimit || extra && (out > whole+1 || part == 0 || m.now < m.nextCall) {
+			return
+		}
 		i := m.waiting[0]
 		w := &m.rpcs[i]
 		left := m.goodUntil(w) - m.now
@@ -513,8 +523,9 @@
 			m.giveUp(i)
 			continue
 		}
-		if share := m.Machine.CallsOut; share < 1 { // a silent call must not outlast the share of the span
-			left = min(left, max(share*m.Machine.CallsSpan-m.Machine.Linger, margin))
+		if w.extra = extra; extra {
+			left = min(left, max(part*m.Machine.CallsSpan-m.Machine.Linger, margin))
+			m.nextCall = math.Inf(1) // until this one has ended
 		}
 		w.tries++
 		w.dialed = m.now
@@ -543,8 +554,9 @@
 	} else {
 		m.callLimit = min(m.callLimit+0.1, m.cores())
 	}
-	if share := m.Machine.CallsOut; share < 1 {
-		m.nextCall = m.now + took*(1/share-1)
+	if _, part := math.Modf(m.Machine.CallsOut); w.extra {
+		w.extra = false
+		m.nextCall = m.now + took*(1/part-1)
 	}
 }
 
