--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -382,3 +382,23 @@
 	//   0.00 call 0, patience 1.05
 	//   0.40 call 1, patience 1.05
 }
+
+// The fraction of a share past a whole number is used too: one call more at times, shorter in patience.
+func Example_shareFraction() {
+	d := open(func(c *rpc.Charter) { c.Machine.CallsOut = 1.25 })
+	d.arrive(0, page)
+	d.arrive(1, page)
+	d.m.NeedsCall(d.now, 0)
+	d.m.NeedsCall(d.now, 1)
+	d.now += 0.1
+	d.m.Called(d.now, 1, rpc.OK)
+	d.m.NeedsCall(d.now, 1)
+	d.pass(0.4)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 call 0, patience 2.40
+	//   0.00 call 1, patience 1.05
+	//   0.42 call 1, patience 1.05
+}
