Close connections that idle longer than a new one costs

Cause: at full size hundreds of callers each send one RPC in minutes; their idle connections fill the table, and callers with work find none. Told from lack of cores by half a running RPC a core while 89% of tries get no connection.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -157,6 +157,7 @@
 func (g *guest) Forget(i int)                 { g.reply.Evict(g.who, g.handles[i]) }
 func (g *guest) Follow(i int)                 { g.reply.Join(g.who, g.handles[i]) }
 func (g *guest) Publish(value float64)        { g.reply.Publish(g.who, value) }
+func (g *guest) Reap(idle float64)            { g.reply.ReapAfter(g.who, idle) }
 func (g *guest) Health(good bool)             { g.reply.Health(g.who, true, good) }
 func (g *guest) Wake(after float64)           { g.reply.Remind(g.who, after, 0) }
 func (g *guest) Log(text string)              { g.reply.Debug(g.who, text) }
--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -71,6 +71,7 @@
 func (d *desk) Follow(i int)              { d.say("follow %d", i) }
 func (d *desk) Health(good bool)          { d.say("health %v", good) }
 func (d *desk) Log(text string)           { d.say("log %s", text) }
+func (d *desk) Reap(idle float64)         { d.say("reap after %.2f", idle) }
 func (d *desk) Wake(float64)              {}
 func (d *desk) Release(int)               {}
 func (d *desk) Publish(v float64) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,9 +44,11 @@
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
-// caller is one caller as this app server knows it: when it last sent something, its unanswered RPCs here.
+// caller is one caller as this app server knows it: when it last sent something and last had all its answers,
+// its unanswered RPCs here.
 type caller struct {
 	heard float64
+	idle  float64
 	out   int
 	waits []patience // by method
 }
@@ -83,6 +85,8 @@
 	full                bool // some caller had its full credit out since the last update
 	updated             float64
 	readWait, readAt    float64 // of the last arrival, and when that was
+	gaps                hist    // for which callers have nothing here between two RPCs
+	reap                float64 // idle connections are closed after it, 0 for never
 	over                float64 // since when the delay has stood past the mark, 0 if it does not
 	newest              bool    // the hold has stood full for a while
 	limit               float64 // of RPCs on the cores
@@ -156,7 +160,8 @@
 		m.rpcs = append(m.rpcs, work{})
 	}
 	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: math.Inf(-1), waits: make([]patience, len(m.Methods))})
+		m.callers = append(m.callers, caller{heard: math.Inf(-1), idle: math.Inf(-1),
+			waits: make([]patience, len(m.Methods))})
 	}
 	if method >= len(m.Methods) { // nothing is known of it, so nothing may be run
 		m.do.Abort(i)
@@ -172,6 +177,9 @@
 		w.due = min(w.due, m.stop)
 	}
 	m.callers[from].heard = now
+	if m.callers[from].out == 0 {
+		m.gaps.add(now - m.callers[from].idle)
+	}
 	m.readWait, m.readAt = lay, now
 	m.records[method].asked++
 	m.arrived++
@@ -410,7 +418,9 @@
 	m.count[to]++
 	m.kb += w.kb * (m.weight(to) - m.weight(from))
 	if from.owed() && !to.owed() {
-		m.callers[w.caller].out--
+		if m.callers[w.caller].out--; m.callers[w.caller].out == 0 {
+			m.callers[w.caller].idle = m.now
+		}
 	}
 	w.state = to
 	switch from {
@@ -604,6 +614,7 @@
 	if now-m.updated >= m.dt { // a round trip is about as long as the delay that is steered
 		m.update()
 		m.checkHealth()
+		m.tidy()
 	}
 	m.place()
 	m.pump()
@@ -722,6 +733,33 @@
 	m.do.Log(fmt.Sprintf("work takes three times the usual: %v", slow))
 }
 
+// tidy closes connections that have been idle for so long that keeping them costs more than the next one that
+// their caller will open. Guards against a table of connections that many callers fill, each with one RPC in
+// minutes: those with work find no room, and a full table takes the cores. It could harm where a connection
+// costs far more than a place in the table does in worthIdle.
+func (m *Module) tidy() {
+	const worthIdle = 8.0 // seconds
+	if m.gaps.sum < 16 {
+		return
+	}
+	best, reap, kept, left := math.Inf(1), 0.0, 0.0, m.gaps.sum
+	for k, n := range m.gaps.bins[:len(m.gaps.bins)-1] {
+		after := 0.02 * math.Pow(1.5, float64(k))
+		left -= n
+		kept += n * after
+		if cost := left*(worthIdle+after) + kept; cost < best {
+			best, reap = cost, after
+		}
+	}
+	if m.gaps.sum > 128 {
+		m.gaps.halve()
+	}
+	if m.Machine.KeepAlive > 0 && reap != m.reap {
+		m.reap = reap
+		m.do.Reap(min(reap, m.Machine.KeepAlive))
+	}
+}
+
 // chance draws a number from 0 to 1.
 func (m *Module) chance() float64 {
 	m.draws++
@@ -770,7 +808,7 @@
 }
 
 func (h *hist) add(t float64) {
-	k := int(math.Ceil(math.Log(max(t, 0.02)/0.02) / math.Log(1.5)))
+	k := int(math.Ceil(math.Log(min(max(t, 0.02), 9)/0.02) / math.Log(1.5)))
 	h.bins[min(k, len(h.bins)-1)]++
 	h.sum++
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -78,6 +78,7 @@
 	Cold       bool       `json:"justStarted"`
 	Cores      int        `json:"nCores"`
 	Gauges     []string   `json:"ownStats"`
+	KeepAlive  float64    `json:"keepaliveMaxS"`
 	EntryKB    float64    `json:"entryKb"`
 	MemoryKB   float64    `json:"memoryKb"`
 	RunFactor  float64    `json:"runFactor"`
@@ -111,6 +112,7 @@
 	Forget(i int)
 	Follow(i int)
 	Publish(value float64)
+	Reap(idle float64)
 	Health(good bool)
 	Wake(after float64)
 	Log(text string)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -172,6 +172,8 @@
 	binary.BigEndian.PutUint32(r.record(11, who)[5:], math.Float32bits(float32(amount)))
 }
 
+func (r *Reply) ReapAfter(who uint32, idle float64) { putF64(r.record(12, who)[5:], idle) }
+
 func (r *Reply) Remind(who uint32, span float64, mark uint64) {
 	b := r.record(13, who)
 	putF64(b[5:], span)
