Judge slowness by the pace over all methods, from four runs on

Cause: a small app server sees one or two runs of a method in a span; the medians of two runs raised false alarms all over the fleet, and half of the alarms took healthy app servers off the list.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -59,10 +59,10 @@
 	seen int
 }
 
-// record is what has been seen of a method: run times of late, the usual median, arrivals, ok in time.
+// record is what has been seen of a method: run times of late and for long, arrivals, ok in time.
 type record struct {
-	late             hist
-	usual, asked, ok float64
+	late, usual hist
+	asked, ok   float64
 }
 
 // Module decides for one app server.
@@ -78,7 +78,9 @@
 	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
 	callers             []caller
 	records             []record
+	pace                hist // run times of late of all methods, as multiples of the usual
 	halved              float64
+	spans               int
 	arrived, refused    float64 // of late
 	dt, mark            float64 // d_t, and the delay past which arrivals are refused
 	pool, credit        float64
@@ -385,7 +387,7 @@
 		m.move(i, absent)
 	case running:
 		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
-		m.records[w.method].late.add(m.now - w.began)
+		m.timed(w.method, m.now-w.began)
 		m.move(i, adrift)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
 		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
@@ -472,7 +474,7 @@
 		if p := &m.callers[w.caller].waits[w.method]; now-w.arrival > 1.2*p.age {
 			p.seen = 0 // so it waits longer
 		}
-		m.records[w.method].late.add(took)
+		m.timed(w.method, took)
 		if now <= w.arrival+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
@@ -621,24 +623,35 @@
 	m.do.Wake(tick)
 }
 
+// timed takes note of a run time. The pace is kept over all methods: a small app server sees each of them
+// too seldom.
+func (m *Module) timed(method int, took float64) {
+	r := &m.records[method]
+	if r.usual.sum >= 4 {
+		m.pace.add(took / r.usual.median())
+	}
+	r.late.add(took)
+	r.usual.add(took)
+}
+
 // What is measured counts half after a span, so that a trouble is soon learnt and forgotten. What is usual
 // does after 16 of them, half a minute, longer than most slow spells, so that they stand out.
 const span, usualSpans = 2.0, 16
 
 func (m *Module) halve() {
 	m.halved = m.now
+	m.spans++
 	m.callTook.halve()
+	m.pace.halve()
 	m.callBest *= 1.02 // forgotten over minutes
 	m.arrived, m.refused = m.arrived/2, m.refused/2
 	for k := range m.records {
 		r := &m.records[k]
 		r.asked, r.ok = r.asked/2, r.ok/2
-		if l := r.late.median(); r.usual == 0 {
-			r.usual = l
-		} else if l > 0 {
-			r.usual += (l - r.usual) / usualSpans
-		}
 		r.late.halve()
+		if m.spans%usualSpans == 0 {
+			r.usual.halve()
+		}
 	}
 }
 
@@ -715,14 +728,7 @@
 // only every second app server speaks up, by a draw for each spell. One that is avoided forgets its slow
 // runs and is well.
 func (m *Module) checkHealth() {
-	late, usual := 0.0, 0.0
-	for k := range m.records {
-		if r := &m.records[k]; r.usual > 0 && r.late.median() > 0 {
-			late += r.late.sum * r.late.median()
-			usual += r.late.sum * r.usual
-		}
-	}
-	slow := late > 3*usual
+	slow := m.pace.median() > 3 && (m.slow || m.pace.sum >= 4)
 	if slow == m.slow || m.leaving {
 		return
 	}
