Know further tries and their age; ask not to go on only in a storm of them

Cause: a weak app server refuses much while others have room, and asked its callers not to go on; letting them go on was no better, as further tries came half spent and were served too late, or ended in storms. Told apart by the share of arrivals that are further tries: marked ones, or, where callers tell their wait, those that wait for an odd share of the deadline.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -73,7 +73,7 @@
 	return nil
 }
 
-func (h *host) Order(who uint32, handle uint64, lay float64, repeats uint64, due float64,
+func (h *host) Order(who uint32, handle uint64, lay float64, further bool, repeats uint64, due float64,
 	from uint16, kb float64, class uint16) {
 	g := h.guests[who]
 	if g == nil {
@@ -98,7 +98,7 @@
 		g.handles = append(g.handles, handle)
 	}
 	g.index[handle] = i
-	g.module.Arrive(h.now, i, int(class), caller, lay, due, kb, earlier)
+	g.module.Arrive(h.now, i, int(class), caller, lay, further, due, kb, earlier)
 }
 
 // find looks up an RPC that is still in hand; what is not is passed over.
--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -51,7 +51,7 @@
 }
 
 func (d *desk) arriveAs(i, method, from int, lay float64, repeats int) {
-	d.m.Arrive(d.now, i, method, from, lay, 0, 20, repeats)
+	d.m.Arrive(d.now, i, method, from, lay, false, 0, 20, repeats)
 }
 
 // pass lets time go by, a look at a time.
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -37,8 +37,9 @@
 // work is one RPC in hand.
 type work struct {
 	state                 state
-	method, caller, tries int // tries of the call in need
-	arrival, due, kb      float64
+	method, caller, tries int     // tries of the call in need
+	arrival, asked        float64 // here, and its first try, as far as can be told
+	due, kb               float64
 	began, dialed         float64 // when it was started, and its call placed
 	extra                 bool    // its call is past the whole part of the share
 	key                   float64 // until when its token is remembered, 0 if it is not
@@ -82,6 +83,10 @@
 	halved              float64
 	spans               int
 	arrived, refused    float64 // of late
+	further             float64
+	shares              [16]float64 // of the deadline that callers wait, of the last arrivals
+	seen                int
+	walked              float64 // how old what is refused has been, which others read as further tries
 	dt, mark            float64 // d_t, and the delay past which arrivals are refused
 	pool, credit        float64
 	full                bool // some caller had its full credit out since the last update
@@ -154,9 +159,10 @@
 	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*(m.now-m.started)/m.Rules.WarmIn)
 }
 
-// Arrive takes note of an RPC that has been read. due is 0 where callers do not tell how long they wait;
-// repeats is the RPC of which this is a further try, rpc.None or rpc.Gone.
-func (m *Module) Arrive(now float64, i, method, from int, lay, due, kb float64, repeats int) {
+// Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; due is
+// 0 where they do not tell how long they wait; repeats is the RPC that this one repeats, rpc.None or rpc.Gone.
+func (m *Module) Arrive(now float64, i, method, from int, lay float64, further bool, due, kb float64,
+	repeats int) {
 	m.now = now
 	for len(m.rpcs) <= i {
 		m.rpcs = append(m.rpcs, work{})
@@ -171,7 +177,11 @@
 		return
 	}
 	w := &m.rpcs[i]
-	*w = work{method: method, caller: from, arrival: now - lay, due: due, kb: kb}
+	*w = work{method: method, caller: from, arrival: now - lay, asked: now - lay, due: due, kb: kb}
+	if age := m.age(w, further); age > 0 {
+		w.asked -= age
+		m.further++
+	}
 	if due <= 0 {
 		w.due = w.arrival + m.Methods[method].Deadline
 	}
@@ -207,6 +217,32 @@
 	m.pump()
 }
 
+// age tells how long ago a further try was first asked, as far as it shows. Marked ones are taken to be as old
+// as what is refused here is. Where callers tell how long they wait, first tries all wait for the same share of
+// the deadline and further ones for what is left of it; unless that says that it is past its latency target,
+// which would starve a caller with a habit of its own.
+func (m *Module) age(w *work, further bool) float64 {
+	method := &m.Methods[w.method]
+	if further || w.due <= 0 || method.Deadline <= 0 {
+		if further {
+			return m.walked
+		}
+		return 0
+	}
+	share, same := (w.due-w.arrival)/method.Deadline, 0
+	for _, other := range m.shares {
+		if math.Abs(share-other) < 0.005 {
+			same++
+		}
+	}
+	m.shares[m.seen%len(m.shares)] = share
+	m.seen++
+	if age := (1 - share) * method.Deadline; m.seen > len(m.shares) && same < 2 && age < method.Target {
+		return max(age, 0)
+	}
+	return 0
+}
+
 // takeOver puts a further try in the place of a held one: the caller has most likely given up on the
 // earlier.
 func (m *Module) takeOver(i, earlier int) {
@@ -214,9 +250,9 @@
 	m.dropKey(e) // its entry goes over to the further try
 	m.remember(i)
 	m.do.PushBack(earlier, true, m.advice())
-	arrival := e.arrival
+	arrival, asked := e.arrival, e.asked
 	m.move(earlier, absent)
-	w.arrival = min(w.arrival, arrival)
+	w.arrival, w.asked = min(w.arrival, arrival), min(w.asked, asked)
 }
 
 // remember keeps the token of a held RPC, so that two held tries are known for one, until its window has
@@ -274,7 +310,7 @@
 // callers are asked not to go on through their lists: reading what comes straight back takes the cores. Three
 // in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server alone is
 // short of room; sparing one that has become slow moved nothing.
-func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) }
+func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && m.further > 0.3*m.arrived }
 
 // delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the
 // reading wait of the latest arrival.
@@ -336,7 +372,7 @@
 
 // goodUntil is when an answer stops being worth its full criticality.
 func (m *Module) goodUntil(w *work) float64 {
-	return min(w.arrival+m.Methods[w.method].Target, w.due-margin)
+	return min(w.asked+m.Methods[w.method].Target, w.due-margin)
 }
 
 // hopeless tells whether a held RPC would come too late even if it were started now. While half the cores
@@ -360,7 +396,7 @@
 	switch {
 	case w.state == held:
 		// Another app server may be quicker, unless most of the time is gone.
-		m.refuse(i, m.swamped() || m.now-w.arrival > m.Methods[w.method].Target/2)
+		m.refuse(i, m.swamped() || m.now-w.asked > m.Methods[w.method].Target/2)
 		return
 	case w.state != following && m.Methods[w.method].Kind == rpc.Idempotent:
 		m.do.PushBack(i, true, m.advice())
@@ -373,6 +409,9 @@
 // refuse pushes back a held RPC, which has not been started.
 func (m *Module) refuse(i int, last bool) {
 	m.refused++
+	if !last {
+		m.walked += (m.now - m.rpcs[i].asked - m.walked) / 16
+	}
 	m.forget(i)
 	m.do.PushBack(i, last, m.advice())
 	m.move(i, absent)
@@ -475,7 +514,7 @@
 			p.seen = 0 // so it waits longer
 		}
 		m.timed(w.method, took)
-		if now <= w.arrival+m.Methods[w.method].Target {
+		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
 	}
@@ -644,7 +683,7 @@
 	m.callTook.halve()
 	m.pace.halve()
 	m.callBest *= 1.02 // forgotten over minutes
-	m.arrived, m.refused = m.arrived/2, m.refused/2
+	m.arrived, m.refused, m.further = m.arrived/2, m.refused/2, m.further/2
 	for k := range m.records {
 		r := &m.records[k]
 		r.asked, r.ok = r.asked/2, r.ok/2
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -262,7 +262,7 @@
 	d.arrive(0, read)
 	d.arrive(1, read)
 	d.arrive(2, read)
-	d.m.Arrive(d.now, 3, read, 0, 0, 0, 60, rpc.None)
+	d.m.Arrive(d.now, 3, read, 0, 0, false, 0, 60, rpc.None)
 	d.ended(0, rpc.OK)
 	// Output:
 	//   0.00 health true
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -21,7 +21,7 @@
 // Events is told what a batch holds, record by record.
 type Events interface {
 	Hello(who uint32, seed uint64, params []byte) error
-	Order(who uint32, handle uint64, lay float64, repeats uint64, due float64,
+	Order(who uint32, handle uint64, lay float64, further bool, repeats uint64, due float64,
 		from uint16, kb float64, class uint16)
 	WoundUp(who uint32, handle uint64, result uint16, took float64)
 	Stalled(who uint32, handle uint64)
@@ -84,7 +84,7 @@
 				return err
 			}
 		case 2:
-			ev.Order(who, u64(b, 5), f64(b, 13), u64(b, 34), f64(b, 42),
+			ev.Order(who, u64(b, 5), f64(b, 13), b[21]&2 != 0, u64(b, 34), f64(b, 42),
 				binary.BigEndian.Uint16(b[58:]), f32(b, 64), binary.BigEndian.Uint16(b[68:]))
 		case 3:
 			ev.WoundUp(who, u64(b, 5), binary.BigEndian.Uint16(b[13:]), f64(b, 15))
