--- a/logic/logic.go
+++ b/logic/logic.go
@@ -178,10 +178,7 @@
 	}
 	w := &m.rpcs[i]
 	*w = work{method: method, caller: from, arrival: now - lay, asked: now - lay, due: due, kb: kb}
-	if age := m.age(w, further); age > 0 {
-		w.asked -= age
-		m.further++
-	}
+	w.asked -= m.age(w, further)
 	if due <= 0 {
 		w.due = w.arrival + m.Methods[method].Deadline
 	}
@@ -217,30 +214,31 @@
 	m.pump()
 }
 
-// age tells how long ago a further try was first asked, as far as it shows. Marked ones are taken to be as old
-// as what is refused here is. Where callers tell how long they wait, first tries all wait for the same share of
-// the deadline and further ones for what is left of it; unless that says that it is past its latency target,
-// which would starve a caller with a habit of its own.
+// age tells how long ago an RPC was first asked, as far as it shows, and counts further tries. Marked ones are
+// taken to be as old as what is refused here is. Where callers tell how long they wait, first tries all wait for
+// the same share of the deadline and further ones for what is left of it; that is believed only while it is
+// within the latency target, else a caller with a habit of its own would starve.
 func (m *Module) age(w *work, further bool) float64 {
-	method := &m.Methods[w.method]
-	if further || w.due <= 0 || method.Deadline <= 0 {
-		if further {
-			return m.walked
+	age, method := m.walked, &m.Methods[w.method]
+	if !further && w.due > 0 && method.Deadline > 0 {
+		share, same := (w.due-w.arrival)/method.Deadline, 0
+		for _, other := range m.shares {
+			if math.Abs(share-other) < 0.005 {
+				same++
+			}
 		}
-		return 0
-	}
-	share, same := (w.due-w.arrival)/method.Deadline, 0
-	for _, other := range m.shares {
-		if math.Abs(share-other) < 0.005 {
-			same++
+		m.shares[m.seen%len(m.shares)] = share
+		m.seen++
+		further = m.seen > len(m.shares) && same < 2
+		if age = max((1-share)*method.Deadline, 0); age > method.Target {
+			age = 0
 		}
 	}
-	m.shares[m.seen%len(m.shares)] = share
-	m.seen++
-	if age := (1 - share) * method.Deadline; m.seen > len(m.shares) && same < 2 && age < method.Target {
-		return max(age, 0)
+	if !further {
+		return 0
 	}
-	return 0
+	m.further++
+	return age
 }
 
 // takeOver puts a further try in the place of a held one: the caller has most likely given up on the
