--- a/logic/logic.go
+++ b/logic/logic.go
@@ -84,8 +84,6 @@
 	spans               int
 	arrived, refused    float64 // of late
 	further             float64
-	shares              [16]float64 // of the deadline that callers wait, of the last arrivals
-	seen                int
 	walked              float64 // how old what is refused has been, which others read as further tries
 	dt, mark            float64 // d_t, and the delay past which arrivals are refused
 	pool, credit        float64
@@ -178,7 +176,10 @@
 	}
 	w := &m.rpcs[i]
 	*w = work{method: method, caller: from, arrival: now - lay, asked: now - lay, due: due, kb: kb}
-	w.asked -= m.age(w, further)
+	if further {
+		w.asked -= m.walked
+		m.further++
+	}
 	if due <= 0 {
 		w.due = w.arrival + m.Methods[method].Deadline
 	}
@@ -214,33 +215,6 @@
 	m.pump()
 }
 
-// age tells how long ago an RPC was first asked, as far as it shows, and counts further tries. Marked ones are
-// taken to be as old as what is refused here is. Where callers tell how long they wait, first tries all wait for
-// the same share of the deadline and further ones for what is left of it; that is believed only while it is
-// within the latency target, else a caller with a habit of its own would starve.
-func (m *Module) age(w *work, further bool) float64 {
-	age, method := m.walked, &m.Methods[w.method]
-	if !further && w.due > 0 && method.Deadline > 0 {
-		share, same := (w.due-w.arrival)/method.Deadline, 0
-		for _, other := range m.shares {
-			if math.Abs(share-other) < 0.005 {
-				same++
-			}
-		}
-		m.shares[m.seen%len(m.shares)] = share
-		m.seen++
-		further = m.seen > len(m.shares) && same < 2
-		if age = max((1-share)*method.Deadline, 0); age > method.Target {
-			age = 0
-		}
-	}
-	if !further {
-		return 0
-	}
-	m.further++
-	return age
-}
-
 // takeOver puts a further try in the place of a held one: the caller has most likely given up on the
 // earlier.
 func (m *Module) takeOver(i, earlier int) {
@@ -308,7 +282,9 @@
 // callers are asked not to go on through their lists: reading what comes straight back takes the cores. Three
 // in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server alone is
 // short of room; sparing one that has become slow moved nothing.
-func (m *Module) swamped() bool { return m.refused > 0.3*(m.arrived+4) && m.further > 0.3*m.arrived }
+func (m *Module) swamped() bool {
+	return m.refused > 0.3*(m.arrived+4) && (!m.Clients.MarksRetry || m.further > 0.3*m.arrived)
+}
 
 // delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the
 // reading wait of the latest arrival.
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -58,9 +58,12 @@
 
 // Charter is what an app server is told when it starts.
 type Charter struct {
-	Methods  []Method `json:"profiles"`
-	Machine  Machine  `json:"domain"`
-	Rules    Rules    `json:"rules"`
+	Methods []Method `json:"profiles"`
+	Machine Machine  `json:"domain"`
+	Rules   Rules    `json:"rules"`
+	Clients struct {
+		MarksRetry bool `json:"marksRetry"`
+	} `json:"clients"`
 	Ceilings struct {
 		RetryAfter    bool    `json:"retryAfter"`
 		MaxRetryAfter float64 `json:"maxRetryAfterS"`
