Count RPCs off the cores into the running limit; let the gauge's window pass before it grows

Cause: the limit grew on a use of the cores that was measured before the hold had anything, and on two cores crept to four RPCs, which slow each other. Told from disk waits by the gauge of what needs a core.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,6 +95,9 @@
 	over                float64 // since when the delay has stood past the mark, 0 if it does not
 	newest              bool    // the hold has stood full for a while
 	limit               float64 // of RPCs on the cores
+	emptied             float64 // when the hold was last empty
+	off                 float64 // started RPCs that need no core, of late, as far as it shows
+	crowd               int     // where the gauge of what needs a core stands, -1 if there is none
 	use                 float64 // of the cores, of late
 	gauge               int     // where that gauge stands, -1 if there is none
 	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
@@ -126,6 +129,7 @@
 	}
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
+	m.crowd = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
 	for _, method := range c.Methods {
@@ -794,10 +798,16 @@
 	if m.gauge >= 0 && m.gauge < len(gauges) {
 		m.use = gauges[m.gauge]
 	}
-	if m.use > busy || len(m.hold) > 0 {
+	if len(m.hold) == 0 {
+		m.emptied = m.now
+	}
+	if m.use > busy || m.now-m.emptied > 0.5 {
 		m.limit += m.cores() * (busy - m.use) * gain * tick
 	}
-	m.limit = max(1, min(max(m.limit, m.cores()), 2*m.cores(), m.survivable())) // 3 a core gains nothing
+	if m.crowd >= 0 && m.crowd < len(gauges) {
+		m.off += (max(0, float64(m.count[running]+m.count[adrift])-gauges[m.crowd]) - m.off) * tick
+	}
+	m.limit = max(1, min(max(m.limit, m.cores()+3*m.off), 2*m.cores(), m.survivable())) // 3 a core gains nothing
 }
 
 // busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about. gain
