--- a/logic/logic.go
+++ b/logic/logic.go
@@ -798,16 +798,10 @@
 	if m.gauge >= 0 && m.gauge < len(gauges) {
 		m.use = gauges[m.gauge]
 	}
-	if len(m.hold) == 0 {
-		m.emptied = m.now
-	}
-	if m.use > busy || m.now-m.emptied > 0.5 {
-		m.limit += m.cores() * (busy - m.use) * gain * tick
-	}
 	if m.crowd >= 0 && m.crowd < len(gauges) {
 		m.off += (max(0, float64(m.count[running]+m.count[adrift])-gauges[m.crowd]) - m.off) * tick
 	}
-	m.limit = max(1, min(max(m.limit, m.cores()+3*m.off), 2*m.cores(), m.survivable())) // 3 a core gains nothing
+	m.limit = max(1, min(m.cores()+8*m.off, 2*m.cores(), m.survivable())) // 3 a core gains nothing
 }
 
 // busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about. gain
