Grow the running limit by the cores that idle now, fade it back to one RPC a core

The gauge of what needs a core tells at once; the limit grows while it shows idle cores and work waits, as the design has it.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -95,10 +95,6 @@
 	over                float64 // since when the delay has stood past the mark, 0 if it does not
 	newest              bool    // the hold has stood full for a while
 	limit               float64 // of RPCs on the cores
-	emptied             float64 // when the hold was last empty
-	off                 float64 // started RPCs that need no core, of late, as far as it shows
-	crowd               int     // where the gauge of what needs a core stands, -1 if there is none
-	use                 float64 // of the cores, of late
 	gauge               int     // where that gauge stands, -1 if there is none
 	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
 	callTook            hist
@@ -128,8 +124,7 @@
 		m.Machine.CallsOut = 1
 	}
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
-	m.gauge = slices.Index(c.Machine.Gauges, "core_use")
-	m.crowd = slices.Index(c.Machine.Gauges, "on_cores")
+	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
 	tightest := math.Inf(1)
 	for _, method := range c.Methods {
@@ -791,22 +786,22 @@
 	return float64(h.Sum64()>>11) / (1 << 53)
 }
 
-// adjust follows the cores: the limit grows while they idle and work waits, and shrinks while they do not
-// idle at all, which more RPCs on them would only slow.
+// adjust follows the cores: the limit grows fast while some idle and work waits, and falls back to one RPC a
+// core, as more would only slow each other.
 func (m *Module) adjust(gauges []float64) {
-	m.use = min(float64(m.count[running]+m.count[adrift])/m.cores(), 1)
+	on := float64(m.count[running] + m.count[adrift])
 	if m.gauge >= 0 && m.gauge < len(gauges) {
-		m.use = gauges[m.gauge]
+		on = gauges[m.gauge]
 	}
-	if m.crowd >= 0 && m.crowd < len(gauges) {
-		m.off += (max(0, float64(m.count[running]+m.count[adrift])-gauges[m.crowd]) - m.off) * tick
+	if len(m.hold) > 0 {
+		m.limit += max(m.cores()-on, 0) * gain * tick
 	}
-	m.limit = max(1, min(m.cores()+8*m.off, 2*m.cores(), m.survivable())) // 3 a core gains nothing
+	m.limit += (m.cores() - m.limit) * fade * tick
+	m.limit = max(1, min(m.limit, 2*m.cores(), m.survivable())) // 3 a core gains nothing
 }
 
-// busy is the use of the cores that the limit aims at: with disk waits, more never quite comes about. gain
-// is how many times the gap is added in a second, a few times the half second over which use is measured.
-const busy, gain = 0.97, 2.0
+// gain fills an idle core within a tenth of a second; fade is over the time that a few RPCs take.
+const gain, fade = 10, 0.2
 
 // sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can be
 // and other work waits for them.
