--- a/logic/logic.go
+++ b/logic/logic.go
@@ -51,13 +51,6 @@
 	heard float64
 	idle  float64
 	out   int
-	waits []patience // by method
-}
-
-// patience is the age at which a caller's RPCs have been given up on, and how many times running.
-type patience struct {
-	age  float64
-	seen int
 }
 
 // record is what has been seen of a method: run times of late and for long, arrivals, ok in time.
@@ -165,8 +158,7 @@
 		m.rpcs = append(m.rpcs, work{})
 	}
 	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: math.Inf(-1), idle: math.Inf(-1),
-			waits: make([]patience, len(m.Methods))})
+		m.callers = append(m.callers, caller{heard: math.Inf(-1), idle: math.Inf(-1)})
 	}
 	if method >= len(m.Methods) { // nothing is known of it, so nothing may be run
 		m.do.Abort(i)
@@ -352,9 +344,6 @@
 // are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
-	if p := m.callers[w.caller].waits[w.method]; p.seen >= 4 {
-		until = min(until, w.arrival+p.age)
-	}
 	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
 		m.now+runMargin*m.records[w.method].late.median() > until
 }
@@ -483,9 +472,6 @@
 		m.called(w, true)
 	}
 	if how == rpc.OK && w.state == running {
-		if p := &m.callers[w.caller].waits[w.method]; now-w.arrival > 1.2*p.age {
-			p.seen = 0 // so it waits longer
-		}
 		m.timed(w.method, took)
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
@@ -502,14 +488,6 @@
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
-	if w := &m.rpcs[i]; w.state.owed() {
-		// Within a fifth it is the same habit; another age starts the count afresh.
-		p, age := &m.callers[w.caller].waits[w.method], now-w.arrival
-		if math.Abs(age-p.age) > 0.2*p.age {
-			*p = patience{age: age}
-		}
-		p.seen++
-	}
 	m.unwind(i)
 	m.pump()
 }
