--- a/logic/logic.go
+++ b/logic/logic.go
@@ -53,10 +53,17 @@
 	out   int
 }
 
+// patience is the age at which a method's RPCs have been given up on, and how many times running.
+type patience struct {
+	age  float64
+	seen int
+}
+
 // record is what has been seen of a method: run times of late and for long, arrivals, ok in time.
 type record struct {
 	late, usual hist
 	asked, ok   float64
+	patience    patience
 }
 
 // Module decides for one app server.
@@ -344,6 +351,9 @@
 // are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
+	if p := m.records[w.method].patience; p.seen >= 4 {
+		until = min(until, w.arrival+p.age)
+	}
 	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
 		m.now+runMargin*m.records[w.method].late.median() > until
 }
@@ -472,6 +482,9 @@
 		m.called(w, true)
 	}
 	if how == rpc.OK && w.state == running {
+		if p := &m.records[w.method].patience; now-w.arrival > 1.2*p.age {
+			p.seen = 0 // so it waits longer
+		}
 		m.timed(w.method, took)
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
@@ -488,6 +501,14 @@
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
+	if w := &m.rpcs[i]; w.state.owed() {
+		// Within a fifth it is the same habit; another age starts the count afresh.
+		p, age := &m.records[w.method].patience, now-w.arrival
+		if math.Abs(age-p.age) > 0.2*p.age {
+			*p = patience{age: age}
+		}
+		p.seen++
+	}
 	m.unwind(i)
 	m.pump()
 }
