--- a/logic/logic.go
+++ b/logic/logic.go
@@ -140,6 +140,9 @@
 	m.limit = m.cores()   // the design's default
 	m.credit = math.NaN() // nothing said yet
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1)) * m.warmth()
+	for range 16 {
+		m.gaps.add(3) // till more is known: all callers are new at first, so that few look like many
+	}
 	do.Health(true)
 	m.publish()
 	do.Wake(tick)
@@ -755,10 +758,7 @@
 // minutes: those with work find no room, and a full table takes the cores. It could harm where a connection
 // costs far more than a place in the table does in worthIdle.
 func (m *Module) tidy() {
-	const worthIdle = 8.0 // seconds
-	if m.gaps.sum < 16 {
-		return
-	}
+	const worthIdle = 12.0 // seconds
 	best, reap, kept, left := math.Inf(1), 0.0, 0.0, m.gaps.sum
 	for k, n := range m.gaps.bins[:len(m.gaps.bins)-1] {
 		after := 0.02 * math.Pow(1.5, float64(k))
@@ -818,14 +818,14 @@
 	}
 }
 
-// hist counts times in a few coarse bins, each half as long again as the one before, from 20 ms to 9 s.
+// hist counts times in a few coarse bins, each half as long again as the one before, from 20 ms to 30 s.
 type hist struct {
-	bins [16]float64
+	bins [20]float64
 	sum  float64
 }
 
 func (h *hist) add(t float64) {
-	k := int(math.Ceil(math.Log(min(max(t, 0.02), 9)/0.02) / math.Log(1.5)))
+	k := int(math.Ceil(math.Log(min(max(t, 0.02), 60)/0.02) / math.Log(1.5)))
 	h.bins[min(k, len(h.bins)-1)]++
 	h.sum++
 }
