Say what the signal means whenever it changes; absent limits are no limits

publish returned while the credit stood still, so a changed cover was never said under the signals weight and floor. A method without a deadline or latency target was pushed back at once; now it has none.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -86,7 +86,7 @@
 	further             float64
 	walked              float64 // how old what is refused has been, which others read as further tries
 	dt, mark            float64 // d_t, and the delay past which arrivals are refused
-	pool, credit        float64
+	pool, credit, said  float64
 	full                bool // some caller had its full credit out since the last update
 	updated             float64
 	readWait, readAt    float64 // of the last arrival, and when that was
@@ -126,19 +126,25 @@
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
+	m.Methods = slices.Clone(c.Methods)
 	tightest := math.Inf(1)
-	for _, method := range c.Methods {
-		if method.Target > 0 {
-			tightest = min(tightest, method.Target)
+	for k := range m.Methods {
+		method := &m.Methods[k]
+		if method.Deadline <= 0 {
+			method.Deadline = math.Inf(1)
 		}
+		if method.Target <= 0 {
+			method.Target = method.Deadline
+		}
+		tightest = min(tightest, method.Target)
 	}
 	if math.IsInf(tightest, 1) {
 		tightest = 1
 	}
-	m.dt = tightest / 6   // a quarter made the incidents worse, an eighth the overload days
-	m.mark = 2 * m.dt     // the design's default
-	m.limit = m.cores()   // the design's default
-	m.credit = math.NaN() // nothing said yet
+	m.dt = tightest / 6 // a quarter made the incidents worse, an eighth the overload days
+	m.mark = 2 * m.dt   // the design's default
+	m.limit = m.cores() // the design's default
+	m.said = math.NaN() // nothing yet
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1)) * m.warmth()
 	for range 16 {
 		m.gaps.add(3) // till more is known: all callers are new at first, so that few look like many
@@ -717,23 +723,25 @@
 // publish says the free credit, which goes out with every answer, in the terms of the site's signal: as it
 // is, or as the share of what is in hand that the pool covers. One that leaves wants nothing more.
 func (m *Module) publish() {
-	credit := max(1, math.Ceil(m.pool/m.heard()))
 	inHand := float64(m.count[held] + m.count[running] + m.count[stalled] + m.count[calling])
 	cover := min(1, m.pool/max(inHand, 1))
+	m.credit = max(1, math.Ceil(m.pool/m.heard()))
 	if m.leaving {
-		credit, cover = 0, 0
-	}
-	if credit == m.credit {
-		return
+		m.credit, cover = 0, 0
 	}
-	m.credit = credit
+	value := m.credit
 	switch m.Machine.Signal {
-	case rpc.Allowance:
-		m.do.Publish(credit)
 	case rpc.Weight:
-		m.do.Publish(cover)
+		value = cover
 	case rpc.Floor:
-		m.do.Publish(1 - cover)
+		value = 1 - cover
+	case rpc.Allowance:
+	default:
+		return
+	}
+	if value != m.said {
+		m.said = value
+		m.do.Publish(value)
 	}
 }
 
