--- a/logic/logic.go
+++ b/logic/logic.go
@@ -426,7 +426,7 @@
 	switch {
 	case !m.Ceilings.RetryAfter:
 		return 0
-	case m.leaving, m.refused > 0.5*(m.arrived+4): // most is turned away: reading it is the trouble
+	case m.leaving:
 		return m.Ceilings.MaxRetryAfter
 	}
 	return min(max(m.delay()-m.dt, 0), m.Ceilings.MaxRetryAfter)
