--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -62,14 +62,14 @@
 	callers map[uint16]int
 }
 
-func (h *host) Hello(who uint32, seed uint64, params []byte) error {
+func (h *host) Hello(who uint32, _ uint64, params []byte) error {
 	var charter rpc.Charter
 	if err := json.Unmarshal(params, &charter); err != nil {
 		return fmt.Errorf("settings of instance %d: %w", who, err)
 	}
 	g := &guest{host: h, who: who, index: map[uint64]int{}, callers: map[uint16]int{}}
 	h.guests[who] = g
-	g.module = logic.New(h.now, seed, charter, g)
+	g.module = logic.New(h.now, charter, g)
 	return nil
 }
 
--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -39,7 +39,7 @@
 		change(&c)
 	}
 	d := &desk{now: 100, use: 1}
-	d.m = logic.New(d.now, 4, c, d)
+	d.m = logic.New(d.now, c, d)
 	return d
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -10,7 +10,6 @@
 
 import (
 	"fmt"
-	"hash/fnv"
 	"math"
 	"slices"
 
@@ -59,18 +58,17 @@
 	seen int
 }
 
-// record is what has been seen of a method: run times of late and for long, arrivals, ok in time.
+// record is what has been seen of a method of late: run times, arrivals, ok in time, its callers' patience.
 type record struct {
-	late, usual hist
-	asked, ok   float64
-	patience    patience
+	late      hist
+	asked, ok float64
+	patience  patience
 }
 
 // Module decides for one app server.
 type Module struct {
 	rpc.Charter
 	do                  rpc.Actions
-	seed, draws         uint64
 	now, started        float64
 	rpcs                []work
 	count               [states]int
@@ -79,9 +77,7 @@
 	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
 	callers             []caller
 	records             []record
-	pace                hist // run times of late of all methods, as multiples of the usual
 	halved              float64
-	spans               int
 	arrived, refused    float64 // of late
 	further             float64
 	walked              float64 // how old what is refused has been, which others read as further tries
@@ -99,7 +95,8 @@
 	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
 	callTook            hist
 	callBest            float64 // the best median of late
-	slow                bool    // a slow spell has been seen, and maybe said
+	well                float64 // when a run last ended well, or the first one began
+	hung                bool
 	leaving             bool
 	noticed, stop       float64
 }
@@ -110,8 +107,8 @@
 
 // New starts the module of an app server that has just come up. What the charter lacks, or has at zero,
 // gets the mildest meaning that keeps the rules.
-func New(now float64, seed uint64, c rpc.Charter, do rpc.Actions) *Module {
-	m := &Module{Charter: c, do: do, seed: seed, now: now, started: now, updated: now, halved: now}
+func New(now float64, c rpc.Charter, do rpc.Actions) *Module {
+	m := &Module{Charter: c, do: do, now: now, started: now, updated: now, halved: now}
 	m.Machine.Cores = max(c.Machine.Cores, 1)
 	m.Machine.RunFactor = max(c.Machine.RunFactor, 1)
 	m.Rules.Crowd = max(c.Rules.Crowd, 1)
@@ -340,6 +337,9 @@
 			k++
 		default:
 			w.began = m.now
+			if on == 0 {
+				m.well = m.now
+			}
 			m.do.Start(i)
 			m.move(i, running)
 		}
@@ -407,7 +407,7 @@
 		m.move(i, absent)
 	case running:
 		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
-		m.timed(w.method, m.now-w.began)
+		m.records[w.method].late.add(m.now - w.began)
 		m.move(i, adrift)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
 		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
@@ -494,7 +494,8 @@
 		if p := &m.records[w.method].patience; now-w.arrival > 1.2*p.age {
 			p.seen = 0 // so it waits longer
 		}
-		m.timed(w.method, took)
+		m.records[w.method].late.add(took)
+		m.well = now
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
@@ -643,35 +644,18 @@
 	m.do.Wake(tick)
 }
 
-// timed takes note of a run time. The pace is kept over all methods: a small app server sees each of them
-// too seldom.
-func (m *Module) timed(method int, took float64) {
-	r := &m.records[method]
-	if r.usual.sum >= 4 {
-		m.pace.add(took / r.usual.median())
-	}
-	r.late.add(took)
-	r.usual.add(took)
-}
-
-// What is measured counts half after a span, so that a trouble is soon learnt and forgotten. What is usual
-// does after 16 of them, half a minute, longer than most slow spells, so that they stand out.
-const span, usualSpans = 2.0, 16
+// What is measured counts half after a span, so that a trouble is soon learnt and forgotten.
+const span = 2.0
 
 func (m *Module) halve() {
 	m.halved = m.now
-	m.spans++
 	m.callTook.halve()
-	m.pace.halve()
 	m.callBest *= 1.02 // forgotten over minutes
 	m.arrived, m.refused, m.further = m.arrived/2, m.refused/2, m.further/2
 	for k := range m.records {
 		r := &m.records[k]
 		r.asked, r.ok = r.asked/2, r.ok/2
 		r.late.halve()
-		if m.spans%usualSpans == 0 {
-			r.usual.halve()
-		}
 	}
 }
 
@@ -745,20 +729,16 @@
 	}
 }
 
-// checkHealth says so to health checks while work takes three times as long as it used to, whatever the
-// cause; at twice, overload days lose by it. A fleet that is slow as a whole must not empty the list, so
-// only every second app server speaks up, by a draw for each spell. One that is avoided forgets its slow
-// runs and is well.
+// checkHealth says so to health checks while cores are taken and nothing has ended well for two of the tightest
+// latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as a whole loses
+// nothing by an empty list. It could harm where most RPCs take longer than that; the first that ends takes it back.
 func (m *Module) checkHealth() {
-	slow := m.pace.median() > 3 && (m.slow || m.pace.sum >= 4)
-	if slow == m.slow || m.leaving {
-		return
-	}
-	m.slow = slow
-	if !slow || m.chance() < 0.5 {
-		m.do.Health(!slow)
+	hung := m.count[running]+m.count[adrift] > 0 && m.now-m.well > 12*m.dt
+	if hung != m.hung && !m.leaving {
+		m.hung = hung
+		m.do.Health(!hung)
+		m.do.Log(fmt.Sprintf("work hangs: %v", hung))
 	}
-	m.do.Log(fmt.Sprintf("work takes three times the usual: %v", slow))
 }
 
 // tidy closes connections that have been idle for so long that keeping them costs more than the next one that
@@ -785,14 +765,6 @@
 	}
 }
 
-// chance draws a number from 0 to 1.
-func (m *Module) chance() float64 {
-	m.draws++
-	h := fnv.New64a()
-	fmt.Fprint(h, m.draws, m.seed, m.draws)
-	return float64(h.Sum64()>>11) / (1 << 53)
-}
-
 // adjust follows the cores: the limit grows fast while some idle and work waits, and falls back to one RPC a
 // core, as more would only slow each other.
 func (m *Module) adjust(gauges []float64) {
