--- a/logic/logic.go
+++ b/logic/logic.go
@@ -85,7 +85,6 @@
 	pool, credit, said  float64
 	full                bool // some caller had its full credit out since the last update
 	updated             float64
-	readWait, readAt    float64 // of the last arrival, and when that was
 	gaps                hist    // for which callers have nothing here between two RPCs
 	reap                float64 // idle connections are closed after it, 0 for never
 	over                float64 // since when the delay has stood past the mark, 0 if it does not
@@ -194,7 +193,6 @@
 	if m.callers[from].out == 0 {
 		m.gaps.add(now - m.callers[from].idle)
 	}
-	m.readWait, m.readAt = lay, now
 	m.records[method].asked++
 	m.arrived++
 	m.move(i, held)
@@ -290,17 +288,12 @@
 	return m.refused > 0.3*(m.arrived+4) && (!m.Clients.MarksRetry || m.further > 0.3*m.arrived)
 }
 
-// delay is d_m: the age of the oldest held RPC, reading wait included. While nothing is held it is the
-// reading wait of the latest arrival.
+// delay is d_m: the age of the oldest held RPC, reading wait included.
 func (m *Module) delay() float64 {
-	d := 0.0
-	if m.now-m.readAt < m.dt {
-		d = m.readWait
-	}
-	if len(m.hold) > 0 {
-		d = max(d, m.now-m.rpcs[m.hold[0]].arrival)
+	if len(m.hold) == 0 {
+		return 0
 	}
-	return d
+	return m.now - m.rpcs[m.hold[0]].arrival
 }
 
 // memory is what held and started RPCs and remembered tokens need. room leaves a twentieth for what is
