--- a/logic/logic.go
+++ b/logic/logic.go
@@ -90,6 +90,7 @@
 	over                float64 // since when the delay has stood past the mark, 0 if it does not
 	newest              bool    // the hold has stood full for a while
 	limit               float64 // of RPCs on the cores
+	beside              float64 // what else needs a core, of late: reading, new connections
 	gauge               int     // where that gauge stands, -1 if there is none
 	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
 	callTook            hist
@@ -735,11 +736,11 @@
 }
 
 // tidy closes connections that have been idle for so long that keeping them costs more than the next one that
-// their caller will open. Guards against a table of connections that many callers fill, each with one RPC in
-// minutes: those with work find no room, and a full table takes the cores. It could harm where a connection
-// costs far more than a place in the table does in worthIdle.
+// their caller will open. Guards against a table that many callers fill, each with one RPC in minutes: those with
+// work find no room, and a full table takes the cores. While connecting and reading ask for three times the cores
+// it keeps them: then a full table is what holds a storm of tries off, and closing would let it in.
 func (m *Module) tidy() {
-	const worthIdle = 12.0 // seconds
+	const worthIdle = 12.0 // seconds that a new one costs: 8 and 20 lose on a quiet or on full-size days
 	best, reap, kept, left := math.Inf(1), 0.0, 0.0, m.gaps.sum
 	for k, n := range m.gaps.bins[:len(m.gaps.bins)-1] {
 		after := 0.02 * math.Pow(1.5, float64(k))
@@ -752,6 +753,9 @@
 	if m.gaps.sum > 128 {
 		m.gaps.halve()
 	}
+	if m.beside > 3*m.cores() {
+		reap = m.Machine.KeepAlive
+	}
 	if m.Machine.KeepAlive > 0 && reap != m.reap {
 		m.reap = reap
 		m.do.Reap(min(reap, m.Machine.KeepAlive))
@@ -765,6 +769,8 @@
 	if m.gauge >= 0 && m.gauge < len(gauges) {
 		on = gauges[m.gauge]
 	}
+	rise := on - float64(m.count[running]+m.count[adrift]) - m.beside
+	m.beside += max(rise, 0.1*rise) * tick // up within a second, down over ten
 	if len(m.hold) > 0 {
 		m.limit += max(m.cores()-on, 0) * gain * tick
 	}
