--- a/logic/logic.go
+++ b/logic/logic.go
@@ -44,25 +44,19 @@
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
-// caller is one caller as this app server knows it: when it last sent something and last had all its answers,
-// its unanswered RPCs here.
+// caller is when one caller last sent something and last had all its answers, and its unanswered RPCs here.
 type caller struct {
-	heard float64
-	idle  float64
-	out   int
+	heard, idle float64
+	out         int
 }
 
-// patience is the age at which a method's RPCs have been given up on, and how many times running.
-type patience struct {
-	age  float64
-	seen int
-}
-
-// record is what has been seen of a method of late: run times, arrivals, ok in time, its callers' patience.
+// record is what has been seen of a method of late: run times, arrivals, ok in time, and the age at which its
+// RPCs have been given up on, how many times running.
 type record struct {
 	late      hist
 	asked, ok float64
-	patience  patience
+	patience  float64
+	givenUp   int
 }
 
 // Module decides for one app server.
@@ -124,7 +118,7 @@
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
 	m.Methods = slices.Clone(c.Methods)
-	tightest := math.Inf(1)
+	tightest := 60.0 // should no method have a latency target
 	for k := range m.Methods {
 		method := &m.Methods[k]
 		if method.Deadline <= 0 {
@@ -135,9 +129,6 @@
 		}
 		tightest = min(tightest, method.Target)
 	}
-	if math.IsInf(tightest, 1) {
-		tightest = 1
-	}
 	m.dt = tightest / 6 // a quarter made the incidents worse, an eighth the overload days
 	m.mark = 2 * m.dt   // the design's default
 	m.limit = m.cores() // the design's default
@@ -354,8 +345,8 @@
 // are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
-	if p := m.records[w.method].patience; p.seen >= 4 {
-		until = min(until, w.arrival+p.age)
+	if r := &m.records[w.method]; r.givenUp >= 4 {
+		until = min(until, w.arrival+r.patience)
 	}
 	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
 		m.now+runMargin*m.records[w.method].late.median() > until
@@ -485,10 +476,11 @@
 		m.called(w, true)
 	}
 	if how == rpc.OK && w.state == running {
-		if p := &m.records[w.method].patience; now-w.arrival > 1.2*p.age {
-			p.seen = 0 // so it waits longer
+		r := &m.records[w.method]
+		if now-w.arrival > 1.2*r.patience {
+			r.givenUp = 0 // so they wait longer
 		}
-		m.records[w.method].late.add(took)
+		r.late.add(took)
 		m.well = now
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
@@ -507,11 +499,11 @@
 	m.now = now
 	if w := &m.rpcs[i]; w.state.owed() {
 		// Within a fifth it is the same habit; another age starts the count afresh.
-		p, age := &m.records[w.method].patience, now-w.arrival
-		if math.Abs(age-p.age) > 0.2*p.age {
-			*p = patience{age: age}
+		r, age := &m.records[w.method], now-w.arrival
+		if math.Abs(age-r.patience) > 0.2*r.patience {
+			r.patience, r.givenUp = age, 0
 		}
-		p.seen++
+		r.givenUp++
 	}
 	m.unwind(i)
 	m.pump()
@@ -707,17 +699,9 @@
 	if m.leaving {
 		m.credit, cover = 0, 0
 	}
-	value := m.credit
-	switch m.Machine.Signal {
-	case rpc.Weight:
-		value = cover
-	case rpc.Floor:
-		value = 1 - cover
-	case rpc.Allowance:
-	default:
-		return
-	}
-	if value != m.said {
+	value, heeded := map[rpc.Signal]float64{rpc.Allowance: m.credit, rpc.Weight: cover,
+		rpc.Floor: 1 - cover}[m.Machine.Signal]
+	if heeded && value != m.said {
 		m.said = value
 		m.do.Publish(value)
 	}
