--- a/logic/logic.go
+++ b/logic/logic.go
@@ -721,7 +721,7 @@
 
 // tidy closes connections that have been idle for so long that keeping them costs more than the next one that
 // their caller will open. Guards against a table that many callers fill, each with one RPC in minutes: those with
-// work find no room, and a full table takes the cores. While connecting and reading ask for three times the cores
+// work find no room, and a full table takes the cores. While connecting and reading ask for six times the cores
 // it keeps them: then a full table is what holds a storm of tries off, and closing would let it in.
 func (m *Module) tidy() {
 	const worthIdle = 12.0 // seconds that a new one costs: 8 and 20 lose on a quiet or on full-size days
@@ -737,7 +737,7 @@
 	if m.gaps.sum > 128 {
 		m.gaps.halve()
 	}
-	if m.beside > 3*m.cores() {
+	if m.beside > 6*m.cores() {
 		reap = m.Machine.KeepAlive
 	}
 	if m.Machine.KeepAlive > 0 && reap != m.reap {
