--- a/logic/logic.go
+++ b/logic/logic.go
@@ -153,8 +153,8 @@
 	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*(m.now-m.started)/m.Rules.WarmIn)
 }
 
-// Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; due is
-// 0 where they do not tell how long they wait; repeats is the RPC that this one repeats, rpc.None or rpc.Gone.
+// Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; due
+// is 0 where they do not tell how long they wait; repeats is the RPC that this repeats, rpc.None or rpc.Gone.
 func (m *Module) Arrive(now float64, i, method, from int, lay float64, further bool, due, kb float64,
 	repeats int) {
 	m.now = now
@@ -274,8 +274,8 @@
 
 // swamped tells whether so many are turned away that another app server would most likely do the same. Then
 // callers are asked not to go on through their lists: reading what comes straight back takes the cores. Three
-// in ten: one in ten costs slow days, five in ten overload days. It could harm where one app server alone is
-// short of room; sparing one that has become slow moved nothing.
+// in ten: one in ten costs slow days, five in ten overload days. Where further tries are marked, as many of
+// them must come too, as one that is weak alone should let callers go on; elsewhere it could harm that one.
 func (m *Module) swamped() bool {
 	return m.refused > 0.3*(m.arrived+4) && (!m.Clients.MarksRetry || m.further > 0.3*m.arrived)
 }
@@ -707,9 +707,10 @@
 	}
 }
 
-// checkHealth says so to health checks while cores are taken and nothing has ended well for two of the tightest
-// latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as a whole loses
-// nothing by an empty list. It could harm where most RPCs take longer than that; the first that ends takes it back.
+// checkHealth says so to health checks while cores are taken and nothing has ended well for two of the
+// tightest latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as a
+// whole loses nothing by an empty list. It could harm where most RPCs take longer; the first to end well takes
+// it back.
 func (m *Module) checkHealth() {
 	hung := m.count[running]+m.count[adrift] > 0 && m.now-m.well > 12*m.dt
 	if hung != m.hung && !m.leaving {
@@ -720,9 +721,9 @@
 }
 
 // tidy closes connections that have been idle for so long that keeping them costs more than the next one that
-// their caller will open. Guards against a table that many callers fill, each with one RPC in minutes: those with
-// work find no room, and a full table takes the cores. While connecting and reading ask for six times the cores
-// it keeps them: then a full table is what holds a storm of tries off, and closing would let it in.
+// their caller opens. Guards against a table that many callers fill, each with one RPC in minutes: those with
+// work find no room, and a full table takes the cores. While connecting and reading ask for six times the
+// cores it keeps them: then a full table holds a storm of tries off. It could harm where connections are dear.
 func (m *Module) tidy() {
 	const worthIdle = 12.0 // seconds that a new one costs: 8 and 20 lose on a quiet or on full-size days
 	best, reap, kept, left := math.Inf(1), 0.0, 0.0, m.gaps.sum
