Serve the module on sockets: gate, server, kernel link, roster, charter

The first whole path: Thrift connections of routers, the gate's facade over the module, the kernel link that outlives its connection, roster reports, health checks, the drain on SIGTERM.

--- /dev/null
+++ b/charter/charter.go
@@ -0,0 +1,143 @@
+// Package charter is the one place where configuration is read, checked and given defaults.
+package charter
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"valveglade/rpc"
+)
+
+// Charter is all that one app server is told when it starts. Times are seconds.
+type Charter struct {
+	Name    string
+	Listen  netip.AddrPort // where routers connect
+	Kernel  netip.AddrPort
+	Roster  netip.AddrPort
+	Stop    float64 // from the notice to leave to the kill
+	Memory  int     // bytes this process may take, all told
+	Sockets int     // descriptors it may hold
+	Methods []string
+	Rules   rpc.Charter
+}
+
+// Fault names the key that is wrong.
+type Fault struct {
+	Key, Why string
+}
+
+func (f *Fault) Error() string { return f.Key + ": " + f.Why }
+
+func fault(key, why string, args ...any) error { return &Fault{key, fmt.Sprintf(why, args...)} }
+
+// FromEnv reads the file that GW_CONFIG names; GW_NAME and GW_LISTEN stand in for what it leaves out.
+func FromEnv() (*Charter, error) {
+	path := os.Getenv("GW_CONFIG")
+	if path == "" {
+		return nil, fault("GW_CONFIG", "not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault("GW_CONFIG", "%v", err)
+	}
+	return Parse(text, os.Getenv("GW_NAME"), os.Getenv("GW_LISTEN"))
+}
+
+// Parse reads and checks a configuration; name and listen are used where it has none.
+func Parse(text []byte, name, listen string) (*Charter, error) {
+	var top map[string]json.RawMessage
+	if err := json.Unmarshal(text, &top); err != nil {
+		return nil, fault("GW_CONFIG", "not a JSON object: %v", err)
+	}
+	// What a field's absence means stands here, before it is read.
+	kernel, roster, stop := "", "", 3000.0
+	var limits, settings map[string]json.RawMessage
+	memory, sockets := 192.0, 1024.0
+	var named struct {
+		Profiles []struct {
+			Name string `json:"name"`
+		} `json:"profiles"`
+	}
+	c := &Charter{}
+	for _, field := range []struct {
+		in   *map[string]json.RawMessage
+		key  string
+		into any
+	}{
+		{&top, "name", &name}, {&top, "listen", &listen}, {&top, "kernel", &kernel}, {&top, "roster", &roster},
+		{&top, "stop_ms", &stop}, {&top, "limits", &limits}, {&top, "settings", &settings},
+		{&limits, "memory_mb", &memory}, {&limits, "sockets", &sockets},
+		{&top, "settings", &c.Rules}, {&top, "settings", &named},
+	} {
+		raw, ok := (*field.in)[field.key]
+		if !ok {
+			continue
+		}
+		key := field.key
+		if field.in == &limits {
+			key = "limits." + key
+		}
+		if err := json.Unmarshal(raw, field.into); err != nil {
+			if bad, ok := err.(*json.UnmarshalTypeError); ok {
+				if bad.Field != "" {
+					key += "." + bad.Field
+				}
+				return nil, fault(key, "a JSON %s where %s is wanted", bad.Value, bad.Type)
+			}
+			return nil, fault(key, "%v", err)
+		}
+	}
+	c.Name, c.Stop, c.Memory, c.Sockets = name, stop/1000, int(memory*(1<<20)), int(sockets)
+	for _, p := range named.Profiles {
+		c.Methods = append(c.Methods, p.Name)
+	}
+	for _, a := range []struct {
+		key, text string
+		into      *netip.AddrPort
+	}{{"listen", listen, &c.Listen}, {"kernel", kernel, &c.Kernel}, {"roster", roster, &c.Roster}} {
+		at, err := netip.ParseAddrPort(a.text)
+		if err != nil {
+			return nil, fault(a.key, "%q is no address and port", a.text)
+		}
+		*a.into = at
+	}
+	return c, c.check()
+}
+
+// check refuses what the server could not keep its rules under.
+func (c *Charter) check() error {
+	switch {
+	case c.Name == "":
+		return fault("name", "missing")
+	case c.Stop < 0.1 || c.Stop > 3600:
+		return fault("stop_ms", "%g is not between 100 and 3600000", c.Stop*1000)
+	case c.Memory < 16<<20:
+		return fault("limits.memory_mb", "%g is less than the 16 that the process needs", float64(c.Memory)/(1<<20))
+	case c.Sockets < 32:
+		return fault("limits.sockets", "%d is less than the 32 that the process needs", c.Sockets)
+	case len(c.Methods) == 0:
+		return fault("settings.profiles", "no method is named")
+	case c.Rules.Machine.Below != "" && c.Rules.Machine.Below != "none":
+		return fault("settings.domain.below", "calls to %q are not built yet", c.Rules.Machine.Below)
+	}
+	seen := map[string]bool{}
+	for k, m := range c.Rules.Methods {
+		key := fmt.Sprintf("settings.profiles[%d].", k)
+		switch {
+		case c.Methods[k] == "" || seen[c.Methods[k]]:
+			return fault(key+"name", "%q is empty or named twice", c.Methods[k])
+		case m.Kind != rpc.Idempotent && m.Kind != rpc.Tokened && m.Kind != rpc.NonIdempotent:
+			return fault(key+"idempotency", "%q is not known", string(m.Kind))
+		case m.Target < 0:
+			return fault(key+"onTimeS", "%g is negative", m.Target)
+		case m.Deadline < 0:
+			return fault(key+"deadlineS", "%g is negative", m.Deadline)
+		case m.Kind == rpc.Tokened && m.Window <= 0:
+			return fault(key+"windowS", "%g is not above 0", m.Window)
+		}
+		seen[c.Methods[k]] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/gate/gate.go
@@ -0,0 +1,371 @@
+// Package gate puts the decision module behind a facade in blocking style. Network code says what came in
+// (Arrive, Gone, Report, Tick, Leave) and takes what there is to do from Pick; the module's events and
+// actions stay inside. The gate owns the lock, the small indices and the token table.
+package gate
+
+import (
+	"context"
+	"sync"
+
+	"valveglade/logic"
+	"valveglade/rpc"
+)
+
+// Do is what is to be done for an RPC.
+type Do uint8
+
+const (
+	Run Do = iota + 1
+	Pause
+	Serve    // answer with the result
+	PushBack // answer that it never ran
+	Abort    // answer without a promise
+)
+
+// ID names an RPC in hand. An index comes back for another RPC, its life never does.
+type ID struct {
+	i    int
+	life uint32
+}
+
+// Job is one thing to do; For is what came with the RPC.
+type Job[T any] struct {
+	Do     Do
+	RPC    ID
+	For    T
+	Result []byte
+	Last   bool    // with PushBack: no other app server is to be tried
+	After  float64 // with PushBack: seconds to stay away, 0 for no advice
+}
+
+// state is where an RPC stands with its caller; only move changes it.
+type state uint8
+
+const (
+	free state = iota // the index is spare
+	owed              // an answer is owed
+	done              // answered, or nobody waits any more; the module has not let go of it
+)
+
+type slot[T any] struct {
+	state state
+	life  uint32
+	who   T
+	token string
+	ahead float64 // by how much recv lies ahead of the clock
+	entry *entry  // under which the module knows its token
+}
+
+// Gate is safe for use by many goroutines. No method but Pick blocks.
+type Gate[T any] struct {
+	mu      sync.Mutex
+	charter rpc.Charter
+	module  *logic.Module
+	now     float64
+	slots   []slot[T]
+	spare   []int
+	callers map[int]int
+	tokens  table
+	ended   []int // followers whose outcome is there, to be told to the module
+	jobs    []Job[T]
+	ready   chan struct{} // holds one while there are jobs
+	changed chan struct{} // holds one after a change of health, reaping or the notes
+	credit  float64
+	healthy bool
+	reap    float64
+	wake    float64
+	notes   []string
+}
+
+// maxCallers bounds what callers with made-up numbers can take; past it they count as one.
+const maxCallers = 1 << 12
+
+// New starts a gate; keep bounds the bytes of kept results.
+func New[T any](now float64, c rpc.Charter, keep int) *Gate[T] {
+	g := &Gate[T]{charter: c, now: now, callers: map[int]int{}, tokens: newTable(keep), credit: -1,
+		reap: c.Machine.KeepAlive, ready: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
+	g.module = logic.New(now, c, (*actions[T])(g))
+	return g
+}
+
+// Boot tells when the machine came up, and whether cold. Nothing has been read before; if it has, the
+// module that read it stays.
+func (g *Gate[T]) Boot(at float64, cold bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.slots) == 0 {
+		g.charter.Machine.Cold = cold
+		g.module = logic.New(at, g.charter, (*actions[T])(g))
+	}
+}
+
+func (g *Gate[T]) clock(now float64) float64 {
+	g.now = max(g.now, now) // the module's time never goes back, whatever the system's does
+	return g.now
+}
+
+// Arrive takes in an RPC that has been read: recv is when it came to the machine, due when its caller gives
+// up.
+func (g *Gate[T]) Arrive(now float64, method, src int, recv, due, kb float64, token string, who T) ID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now = g.clock(now)
+	from, ok := g.callers[src]
+	if !ok {
+		from = min(len(g.callers), maxCallers)
+		if from < maxCallers {
+			g.callers[src] = from
+		}
+	}
+	if n := len(g.spare); n == 0 {
+		g.spare = append(g.spare, len(g.slots))
+		g.slots = append(g.slots, slot[T]{})
+	}
+	i := g.spare[len(g.spare)-1]
+	g.spare = g.spare[:len(g.spare)-1]
+	s := &g.slots[i]
+	*s = slot[T]{life: s.life + 1, who: who, token: token, ahead: max(recv-now, 0)}
+	g.move(i, owed)
+	id := ID{i, s.life}
+	repeats := rpc.None
+	if token != "" {
+		if e := g.tokens.find(token, recv); e != nil {
+			s.entry = e
+			repeats = rpc.Gone
+			if g.holds(e.runner) {
+				repeats = e.runner.i
+			}
+		}
+	}
+	g.module.Arrive(now, i, method, from, max(now-recv, 0), false, due, kb, repeats)
+	g.settle()
+	return id
+}
+
+// holds tells whether the module still has the RPC.
+func (g *Gate[T]) holds(id ID) bool {
+	return id.i < len(g.slots) && g.slots[id.i].life == id.life && g.slots[id.i].state != free
+}
+
+// Gone tells that nobody waits for the RPC any more.
+func (g *Gate[T]) Gone(now float64, id ID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.holds(id) && g.slots[id.i].state == owed {
+		g.move(id.i, done)
+		g.module.CallerGone(g.clock(now), id.i)
+		g.settle()
+	}
+}
+
+// Report tells how a run ended. took is in seconds; result is kept, not copied.
+func (g *Gate[T]) Report(now float64, id ID, how rpc.Outcome, took float64, result []byte) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.holds(id) {
+		return
+	}
+	g.clock(now)
+	if e := g.slots[id.i].entry; e != nil && e.runner == id {
+		g.ended = append(g.ended, g.tokens.finish(e, how, result)...)
+	}
+	g.end(id.i, how, took, result)
+	g.settle()
+}
+
+// end answers an RPC whose outcome is there, if an answer is owed, and tells the module.
+func (g *Gate[T]) end(i int, how rpc.Outcome, took float64, result []byte) {
+	switch how {
+	case rpc.OK:
+		g.answer(i, Job[T]{Do: Serve, Result: result})
+	case rpc.Error:
+		g.answer(i, Job[T]{Do: Abort})
+	}
+	g.module.Ended(g.now, i, how, took)
+}
+
+// settle ends the followers of what has an outcome; the module may not be called while it acts.
+func (g *Gate[T]) settle() {
+	for len(g.ended) > 0 {
+		i := g.ended[0]
+		g.ended = g.ended[1:]
+		if e := g.slots[i].entry; g.slots[i].state != free && e != nil {
+			if e.state == kept {
+				g.end(i, rpc.OK, 0, e.result)
+			} else {
+				g.end(i, rpc.Error, 0, nil)
+			}
+		}
+	}
+	if len(g.jobs) > 0 {
+		signal(g.ready)
+	}
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// Tick brings the time and the machine's gauges, nil if they are not known; it says when to come again.
+func (g *Gate[T]) Tick(now float64, gauges []float64) (after float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now = g.clock(now)
+	g.tokens.expire(now)
+	g.module.Tick(now, gauges)
+	g.settle()
+	return g.wake
+}
+
+// Leave gives notice that the process is stopped at the given time.
+func (g *Gate[T]) Leave(now, at float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.module.Leave(g.clock(now), at)
+	g.settle()
+}
+
+// Pick blocks until there is something to do for an RPC. Jobs come in the order in which they were decided.
+func (g *Gate[T]) Pick(ctx context.Context) (Job[T], error) {
+	for {
+		g.mu.Lock()
+		if len(g.jobs) > 0 {
+			job := g.jobs[0]
+			g.jobs[0] = Job[T]{}
+			if g.jobs = g.jobs[1:]; len(g.jobs) > 0 {
+				signal(g.ready)
+			}
+			g.mu.Unlock()
+			return job, nil
+		}
+		g.jobs = nil
+		g.mu.Unlock()
+		select {
+		case <-ctx.Done():
+			return Job[T]{}, ctx.Err()
+		case <-g.ready:
+		}
+	}
+}
+
+// Credit is what goes out with every answer; below 0 there is none.
+func (g *Gate[T]) Credit() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.credit
+}
+
+// Healthy is the answer to health checks.
+func (g *Gate[T]) Healthy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.healthy
+}
+
+// Changed holds a value after the health, the time for idle connections or the notes have changed.
+func (g *Gate[T]) Changed() <-chan struct{} { return g.changed }
+
+// Idle is after how many seconds idle connections are closed, 0 for never.
+func (g *Gate[T]) Idle() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.reap
+}
+
+// Notes are the module's remarks since the last call.
+func (g *Gate[T]) Notes() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	notes := g.notes
+	g.notes = nil
+	return notes
+}
+
+// answer gives the one answer that an RPC gets.
+func (g *Gate[T]) answer(i int, job Job[T]) {
+	s := &g.slots[i]
+	if s.state != owed {
+		return
+	}
+	job.RPC, job.For = ID{i, s.life}, s.who
+	g.jobs = append(g.jobs, job)
+	g.move(i, done)
+}
+
+func (g *Gate[T]) move(i int, to state) {
+	s := &g.slots[i]
+	s.state = to
+	if to == free {
+		if s.entry != nil {
+			s.entry.unfollow(i)
+		}
+		*s = slot[T]{life: s.life}
+		g.spare = append(g.spare, i)
+	}
+}
+
+// actions is the gate as the module sees it.
+type actions[T any] Gate[T]
+
+func (a *actions[T]) gate() *Gate[T] { return (*Gate[T])(a) }
+
+func (a *actions[T]) job(i int, do Do) {
+	s := &a.slots[i]
+	a.jobs = append(a.jobs, Job[T]{Do: do, RPC: ID{i, s.life}, For: s.who})
+}
+
+func (a *actions[T]) Start(i int) {
+	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
+		s.entry.state = started
+	}
+	a.job(i, Run)
+}
+
+func (a *actions[T]) Stop(i int)         { a.job(i, Pause) }
+func (a *actions[T]) Call(int, float64)  {} // the charter lets no method call
+func (a *actions[T]) Abort(i int)        { a.gate().answer(i, Job[T]{Do: Abort}) }
+func (a *actions[T]) Publish(v float64)  { a.credit = v }
+func (a *actions[T]) Wake(after float64) { a.wake = after }
+func (a *actions[T]) Release(i int)      { a.gate().move(i, free) }
+
+func (a *actions[T]) PushBack(i int, last bool, after float64) {
+	a.gate().answer(i, Job[T]{Do: PushBack, Last: last, After: after})
+}
+
+func (a *actions[T]) Remember(i int, span float64) {
+	s := &a.slots[i]
+	s.entry = a.tokens.remember(s.token, ID{i, s.life}, a.now+s.ahead+span)
+}
+
+func (a *actions[T]) Forget(i int) {
+	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
+		a.tokens.forget(s.entry)
+		s.entry = nil
+	}
+}
+
+func (a *actions[T]) Follow(i int) {
+	if e := a.slots[i].entry; e.state == kept || e.state == failed {
+		a.ended = append(a.ended, i)
+	} else {
+		e.followers = append(e.followers, i)
+	}
+}
+
+func (a *actions[T]) Health(good bool) {
+	a.healthy = good
+	signal(a.changed)
+}
+
+func (a *actions[T]) Reap(idle float64) {
+	a.reap = idle
+	signal(a.changed)
+}
+
+func (a *actions[T]) Log(text string) {
+	a.notes = append(a.notes, text)
+	signal(a.changed)
+}
--- /dev/null
+++ b/gate/tokens.go
@@ -0,0 +1,116 @@
+package gate
+
+import (
+	"slices"
+
+	"valveglade/rpc"
+)
+
+// standing is how far the RPC behind a token has come.
+type standing uint8
+
+const (
+	waiting standing = iota // held, nothing has run
+	started
+	kept   // it ran, and its result may be kept
+	failed // it may have run, and has no result
+)
+
+// entry is one remembered token.
+type entry struct {
+	token     string
+	runner    ID // the try that runs or ran, or is held
+	end       float64
+	state     standing
+	result    []byte
+	followers []int
+}
+
+func (e *entry) unfollow(i int) {
+	if k := slices.Index(e.followers, i); k >= 0 {
+		e.followers = slices.Delete(e.followers, k, k+1)
+	}
+}
+
+// table remembers tokens for as long as the module says. It keeps them a little longer, as a repeat counts
+// by when it came to the machine, not by when it is read.
+type table struct {
+	entries map[string]*entry
+	oldest  []*entry // by when they were remembered
+	results []*entry // with a result, the first to be kept first
+	bytes   int
+	limit   int
+}
+
+// unread is how long a repeat may lie unread on a machine that still reads at all.
+const unread = 5.0
+
+func newTable(limit int) table { return table{entries: map[string]*entry{}, limit: limit} }
+
+// find gives the entry that was live when the repeat came to the machine.
+func (t *table) find(token string, recv float64) *entry {
+	if e := t.entries[token]; e != nil && recv <= e.end {
+		return e
+	}
+	return nil
+}
+
+// remember keeps a token, or hands its entry over to a further try.
+func (t *table) remember(token string, runner ID, end float64) *entry {
+	e := &entry{token: token, runner: runner, end: end}
+	if old := t.entries[token]; old != nil {
+		t.drop(old)
+	}
+	t.entries[token] = e
+	t.oldest = append(t.oldest, e)
+	return e
+}
+
+func (t *table) forget(e *entry) {
+	if t.entries[e.token] == e {
+		delete(t.entries, e.token)
+	}
+	t.drop(e)
+}
+
+func (t *table) drop(e *entry) {
+	t.bytes -= len(e.result)
+	e.result = nil
+	e.end = 0
+}
+
+// finish notes the outcome of the try that ran and gives those that wait for it.
+func (t *table) finish(e *entry, how rpc.Outcome, result []byte) []int {
+	e.state = failed
+	switch {
+	case how == rpc.OK:
+		e.state, e.result = kept, result
+		t.bytes += len(result)
+		t.results = append(t.results, e)
+		t.trim()
+	case how.NeverRan():
+		t.forget(e) // so a further try may run
+	}
+	followers := e.followers
+	e.followers = nil
+	return followers
+}
+
+// trim drops the oldest results past the limit. A repeat of theirs is aborted, and still never run.
+func (t *table) trim() {
+	for len(t.results) > 0 && (t.bytes > t.limit || t.results[0].result == nil) {
+		if e := t.results[0]; e.result != nil {
+			t.bytes -= len(e.result)
+			e.result, e.state = nil, failed
+		}
+		t.results = t.results[1:]
+	}
+}
+
+func (t *table) expire(now float64) {
+	for len(t.oldest) > 0 && t.oldest[0].end+unread < now {
+		t.forget(t.oldest[0])
+		t.oldest = t.oldest[1:]
+	}
+	t.trim()
+}
--- /dev/null
+++ b/internal/inlet/inlet.go
@@ -0,0 +1,52 @@
+// Package inlet is the one read buffer that a connection has.
+package inlet
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrFull tells that a message does not fit into the largest buffer allowed.
+var ErrFull = errors.New("message larger than the buffer may grow")
+
+// Buffer grows as it needs, is compacted in place, and never passes its limit.
+type Buffer struct {
+	data     []byte
+	from, to int
+	limit    int
+}
+
+// first holds a usual message; most connections never need more.
+const first = 4 << 10
+
+func New(limit int) *Buffer { return &Buffer{data: make([]byte, min(first, limit)), limit: limit} }
+
+// Fill reads once from r, behind what has not been taken yet.
+func (b *Buffer) Fill(r io.Reader) error {
+	if b.from == b.to {
+		b.from, b.to = 0, 0
+	}
+	if b.to == len(b.data) {
+		if b.from == 0 {
+			if len(b.data) >= b.limit {
+				return ErrFull
+			}
+			b.data = append(b.data, make([]byte, min(len(b.data), b.limit-len(b.data)))...)
+		} else {
+			b.to = copy(b.data, b.data[b.from:b.to])
+			b.from = 0
+		}
+	}
+	n, err := r.Read(b.data[b.to:])
+	b.to += n
+	if n > 0 {
+		return nil
+	}
+	return err
+}
+
+// Bytes is what has been read and not taken, good until the next Fill.
+func (b *Buffer) Bytes() []byte { return b.data[b.from:b.to] }
+
+// Take passes over the first n bytes.
+func (b *Buffer) Take(n int) { b.from += n }
--- /dev/null
+++ b/internal/kernel/link.go
@@ -0,0 +1,405 @@
+// Package kernel is the link to the process that owns the cores and does the work. The link outlives its
+// connection: no notice is missed or taken twice, no command is lost, none starts anything a second time.
+package kernel
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"valveglade/internal/inlet"
+)
+
+// Reach is how far a run had come when it ended without a result.
+type Reach uint8
+
+const (
+	NeverRan Reach = iota // it is sure that nothing was started
+	Sent                  // the command went out, and nothing tells what came of it
+	Ran                   // it was started
+)
+
+// Attempt is the error of a run that has no result.
+type Attempt struct {
+	Reach   Reach
+	Stopped bool // off the cores by our command, or because its answer had been given
+	Why     string
+}
+
+func (a *Attempt) Error() string {
+	return fmt.Sprintf("run %s (%s)", a.Why, [...]string{"never started", "sent", "started"}[a.Reach])
+}
+
+// Owner is told what the kernel says about the runs that it asked for; K is its name for them.
+type Owner[K any] interface {
+	// Booted comes with the first word on each connection: how long ago the kernel started, and whether cold.
+	Booted(ago float64, cold bool)
+	Ended(run K, took float64, result []byte, err error)
+}
+
+// command is one line that the kernel may not have read yet.
+type command struct {
+	uid  string // of the run, empty for SYSINFO
+	echo string // of SYSINFO
+	line []byte
+}
+
+// Link is safe for use by many goroutines.
+type Link[K any] struct {
+	at    netip.AddrPort
+	owner Owner[K]
+	log   *zap.Logger
+
+	mu       sync.Mutex
+	runs     map[string]K
+	unread   []command // in the order decided; SYSINFO answered means that all before it has been read
+	unsent   int       // how many of them, from the end, have not been written on this connection
+	up       bool      // notices up to now are known, commands may go out
+	asked    string    // the echo of the SYSINFO on its way, empty if there is none
+	echo     int
+	meters   []float64
+	measured time.Time
+	pos      int // of the last notice read
+	work     chan struct{}
+	informed chan struct{}
+}
+
+func New[K any](at netip.AddrPort, owner Owner[K], log *zap.Logger) *Link[K] {
+	return &Link[K]{at: at, owner: owner, log: log, runs: map[string]K{},
+		work: make(chan struct{}, 1), informed: make(chan struct{}, 1)}
+}
+
+// Run asks for a run; its end comes to the owner. A name that runs already is not taken again.
+func (l *Link[K]) Run(run K, uid, lane string, body []byte) error {
+	line, err := json.Marshal(struct {
+		Action  string `json:"action"`
+		UID     string `json:"uid"`
+		Lane    string `json:"lane"`
+		Content []byte `json:"content"`
+	}{"SCHED", uid, lane, body})
+	if err != nil {
+		return &Attempt{Why: err.Error()}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, taken := l.runs[uid]; taken {
+		return &Attempt{Why: "its name is taken by another run"}
+	}
+	l.runs[uid] = run
+	l.push(command{uid: uid, line: line})
+	return nil
+}
+
+// Pause stops a run, in the way of the site.
+func (l *Link[K]) Pause(uid string) {
+	line, _ := json.Marshal(struct {
+		Action string `json:"action"`
+		UID    string `json:"uid"`
+	}{"PREEMPT", uid})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, runs := l.runs[uid]; runs {
+		l.push(command{uid: uid, line: line})
+	}
+}
+
+// Gauges asks for the machine's gauges and waits a little for them, nil if they do not come. Only one
+// question is on its way at a time.
+func (l *Link[K]) Gauges(wait time.Duration) []float64 {
+	l.mu.Lock()
+	if l.up && l.asked == "" {
+		l.ask()
+	}
+	select {
+	case <-l.informed: // an answer that came too late for the last look
+	default:
+	}
+	asked := l.asked != ""
+	l.mu.Unlock()
+	if asked {
+		late := time.NewTimer(wait)
+		defer late.Stop()
+		select {
+		case <-l.informed:
+		case <-late.C:
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.measured) > 3*wait {
+		return nil
+	}
+	return l.meters
+}
+
+func (l *Link[K]) ask() {
+	l.echo++
+	l.asked = strconv.Itoa(l.echo)
+	l.push(command{echo: l.asked, line: []byte(`{"action":"SYSINFO","echo":"` + l.asked + `"}`)})
+}
+
+func (l *Link[K]) push(c command) {
+	c.line = append(c.line, '\n')
+	l.unread = append(l.unread, c)
+	l.unsent++
+	signal(l.work)
+}
+
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+const (
+	maxLine  = 64 << 10 // a result of 4 KiB in base64 many times over
+	firstTry = 5 * time.Millisecond
+	lastTry  = 250 * time.Millisecond // a connection on one machine costs little
+	silence  = 5 * time.Second        // gauges are asked for many times a second: the link is dead
+)
+
+// Serve keeps the link up until ctx ends.
+func (l *Link[K]) Serve(ctx context.Context) error {
+	down := false
+	for pause := firstTry; ; pause = min(2*pause, lastTry) {
+		began := time.Now()
+		err := l.connect(ctx, func() {
+			if down {
+				l.log.Info("kernel link up again")
+				down = false
+			}
+		})
+		if ctx.Err() != nil {
+			return nil
+		}
+		if !down {
+			l.log.Warn("kernel link down", zap.Error(err))
+			down = true
+		}
+		if time.Since(began) > lastTry {
+			pause = firstTry
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
+	}
+}
+
+func (l *Link[K]) connect(ctx context.Context, up func()) error {
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", l.at.String())
+	if err != nil {
+		return err
+	}
+	ctx, end := context.WithCancel(ctx)
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	defer conn.Close()
+	l.mu.Lock()
+	open := fmt.Sprintf(`{"action":"OPEN","pos":%d}`+"\n", l.pos)
+	l.mu.Unlock()
+	if _, err := conn.Write([]byte(open)); err != nil {
+		end()
+		return err
+	}
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		defer end()
+		l.write(ctx, conn)
+	}()
+	err = l.read(conn, up)
+	end()
+	<-written
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	// What may not have been read is sent again on the next connection, without the questions.
+	l.up, l.asked = false, ""
+	l.unread = slices.DeleteFunc(l.unread, func(c command) bool { return c.echo != "" })
+	l.unsent = len(l.unread)
+	return err
+}
+
+// write sends what has been decided, several commands at once where they are ready.
+func (l *Link[K]) write(ctx context.Context, conn net.Conn) {
+	var out []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.work:
+		}
+		l.mu.Lock()
+		out = out[:0]
+		for l.unsent > 0 {
+			c := l.unread[len(l.unread)-l.unsent]
+			if !l.up && c.echo == "" {
+				break // until the question before it has been answered
+			}
+			out = append(out, c.line...)
+			l.unsent--
+		}
+		l.mu.Unlock()
+		if len(out) == 0 {
+			continue
+		}
+		conn.SetWriteDeadline(time.Now().Add(silence))
+		if _, err := conn.Write(out); err != nil {
+			return
+		}
+	}
+}
+
+// read takes notices until the connection ends.
+func (l *Link[K]) read(conn net.Conn, up func()) error {
+	in := inlet.New(maxLine)
+	first, blind := true, false
+	for {
+		b := in.Bytes()
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			if err := in.Fill(conn); err != nil {
+				return err
+			}
+			continue
+		}
+		var m struct {
+			Action  string    `json:"action"`
+			Pos     int       `json:"pos"`
+			UID     string    `json:"uid"`
+			Code    string    `json:"code"`
+			Took    float64   `json:"wall_ms"`
+			Content []byte    `json:"content"`
+			Echo    string    `json:"echo"`
+			Meters  []float64 `json:"meters"`
+		}
+		err := json.Unmarshal(b[:end], &m)
+		in.Take(end + 1)
+		if err != nil {
+			if !blind {
+				l.log.Warn("kernel line passed over", zap.Error(err))
+			}
+			blind = true // it may have been a notice: the next one's number tells nothing
+			continue
+		}
+		if m.Pos > 0 {
+			fresh, whole := l.follow(m.Pos, first || blind)
+			if !whole {
+				return errors.New("a notice is missing")
+			}
+			first, blind = false, false
+			if !fresh {
+				continue
+			}
+		}
+		switch m.Action {
+		case "BOOTED":
+			l.owner.Booted(m.Took/1000, m.Code == "starting")
+			l.mu.Lock()
+			l.sync()
+			l.mu.Unlock()
+			conn.SetReadDeadline(time.Now().Add(silence))
+			up()
+		case "INFO":
+			conn.SetReadDeadline(time.Now().Add(silence))
+			l.inform(m.Echo, m.Meters)
+		case "REAP":
+			took := m.Took / 1000
+			switch m.Code {
+			case "fine":
+				l.ended(m.UID, took, m.Content, nil)
+			case "late":
+				l.ended(m.UID, took, nil, &Attempt{Reach: NeverRan, Why: m.Code})
+			case "broken_off":
+				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Stopped: true, Why: m.Code})
+			default:
+				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Why: m.Code})
+			}
+		case "EINVAL":
+			l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
+			if m.Code == "SCHED" {
+				l.ended(m.UID, 0, nil, &Attempt{Reach: Sent, Why: "not carried out"})
+			}
+		case "DMESG":
+		default:
+			if !blind {
+				l.log.Warn("kernel word not known", zap.String("action", m.Action))
+			}
+			blind = true
+		}
+	}
+}
+
+// follow counts a notice: fresh if it has not been read before, not whole if one before it has not come. What
+// is missing is asked for once, on a new connection; after that, or behind an unreadable line, it is lost.
+func (l *Link[K]) follow(pos int, lost bool) (fresh, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case pos <= l.pos:
+		return false, true
+	case pos > l.pos+1 && !lost:
+		return false, false
+	}
+	l.pos = pos
+	return true, true
+}
+
+// sync puts a question before all commands that may have been lost: its answer comes after the notices up to
+// now, and what has ended by them is not sent again.
+func (l *Link[K]) sync() {
+	l.echo++
+	l.asked = strconv.Itoa(l.echo)
+	line := []byte(`{"action":"SYSINFO","echo":"` + l.asked + `"}` + "\n")
+	l.unread = slices.Insert(l.unread, 0, command{echo: l.asked, line: line})
+	l.unsent = len(l.unread)
+	signal(l.work)
+}
+
+func (l *Link[K]) inform(echo string, meters []float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if echo != l.asked {
+		return
+	}
+	l.up, l.asked, l.meters, l.measured = true, "", meters, time.Now()
+	k := slices.IndexFunc(l.unread, func(c command) bool { return c.echo == echo })
+	l.unread = slices.Delete(l.unread, 0, k+1)
+	signal(l.informed)
+	signal(l.work)
+}
+
+func (l *Link[K]) ended(uid string, took float64, result []byte, err error) {
+	l.mu.Lock()
+	run, known := l.runs[uid]
+	if known {
+		delete(l.runs, uid)
+		at, sent := 0, len(l.unread)-l.unsent
+		l.unread = slices.DeleteFunc(l.unread, func(c command) bool {
+			at++
+			if c.uid != uid {
+				return false
+			}
+			if at > sent {
+				l.unsent--
+			}
+			return true
+		})
+	}
+	l.mu.Unlock()
+	if known {
+		l.owner.Ended(run, took, result, err)
+	}
+}
--- /dev/null
+++ b/server/conn.go
@@ -0,0 +1,365 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"valveglade/gate"
+	"valveglade/internal/inlet"
+	"valveglade/internal/thrift"
+)
+
+// call is one RPC as it came.
+type call struct {
+	conn   *conn
+	seq    int32
+	id     gate.ID // known to the connection's reader alone
+	method int
+	uid    string
+	body   []byte
+}
+
+// reply is an answer that waits to be written; without a job it is one of those that the gate has no part in.
+type reply struct {
+	seq int32
+	job gate.Job[*call]
+}
+
+const (
+	checked  gate.Do = 0x80 + iota // a health check
+	unknown                        // a Thrift method that there is not
+	draining                       // not an answer: no new RPC, please
+)
+
+// conn is one connection of a router.
+type conn struct {
+	*Server
+	net.Conn
+
+	mu      sync.Mutex
+	open    map[int32]*call // read, no answer written
+	replies []reply
+	spare   []reply
+	heard   time.Time
+	drained time.Time // when the router was asked to leave, zero before
+	wake    chan struct{}
+}
+
+const (
+	mostOpen  = 128              // RPCs open or answered and unwritten: the protocol's 32, and more that were interrupted
+	stuck     = 10 * time.Second // a router that does not read for so long has lost its answers
+	leaveTime = time.Second      // for a router that was asked to close an idle connection
+	reserve   = 16               // descriptors for the listener, the kernel, the roster, Go itself
+)
+
+// accept takes connections up to what the descriptors allow. Past that the longest idle one goes.
+func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
+	for {
+		for s.crowded() {
+			select {
+			case <-ctx.Done():
+				return nil
+			case <-s.left:
+			case <-time.After(tidyEvery):
+			}
+		}
+		nc, err := listener.Accept()
+		switch {
+		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+			return nil
+		case err != nil:
+			s.log.Warn("accept", zap.Error(err))
+			if !sleep(ctx, 0.05) {
+				return nil
+			}
+			continue
+		}
+		c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, heard: time.Now(), wake: make(chan struct{}, 1)}
+		s.mu.Lock()
+		s.conns[c] = struct{}{}
+		s.mu.Unlock()
+		live, end := context.WithCancel(ctx)
+		context.AfterFunc(live, func() { nc.Close() })
+		s.group.Go(func() error {
+			defer end()
+			c.stopPanic(func() error { return c.write(live) })
+			return nil
+		})
+		s.group.Go(func() error {
+			c.stopPanic(func() error { return c.read() })
+			end()
+			c.over()
+			return nil
+		})
+	}
+}
+
+// crowded tells whether there is room for no further connection, and asks the longest idle one to go.
+func (s *Server) crowded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) < s.charter.Sockets-reserve {
+		return false
+	}
+	var idlest *conn
+	since := time.Now()
+	for c := range s.conns {
+		if at, idle := c.idle(); idle && at.Before(since) {
+			idlest, since = c, at
+		}
+	}
+	if idlest != nil {
+		idlest.drain()
+	}
+	return true
+}
+
+// tidy closes what has been idle for as long as the module says.
+func (s *Server) tidy() {
+	after := s.gate.Idle()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		at, idle := c.idle()
+		switch {
+		case !idle:
+		case c.asked() > leaveTime:
+			c.Close()
+		case after > 0 && time.Since(at) > seconds(after):
+			c.drain()
+		}
+	}
+}
+
+func (c *conn) idle() (since time.Time, idle bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.heard, len(c.open) == 0 && len(c.replies) == 0
+}
+
+// asked is for how long the router has known that it should close.
+func (c *conn) asked() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.drained.IsZero() {
+		return 0
+	}
+	return time.Since(c.drained)
+}
+
+// drain asks the router to send nothing more here and to close. An RPC that crosses this is answered as any
+// other.
+func (c *conn) drain() {
+	c.mu.Lock()
+	first := c.drained.IsZero()
+	if first {
+		c.drained = time.Now()
+	}
+	c.mu.Unlock()
+	if first {
+		c.answer(reply{job: gate.Job[*call]{Do: draining}})
+	}
+}
+
+// stopPanic ends the connection, and nothing else, on a panic.
+func (c *conn) stopPanic(f func() error) {
+	defer func() {
+		if p := recover(); p != nil {
+			c.log.Error("panic on a connection", zap.Any("panic", p), zap.Stack("stack"))
+			c.Close()
+		}
+	}()
+	if err := f(); err != nil {
+		c.log.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
+		c.Close()
+	}
+}
+
+// over tells the gate that nobody waits for what the connection carried.
+func (c *conn) over() {
+	c.mu.Lock()
+	open := c.open
+	c.open = nil
+	c.mu.Unlock()
+	for _, k := range open {
+		c.gate.Gone(clock(), k.id)
+	}
+	c.Server.mu.Lock()
+	delete(c.conns, c)
+	c.Server.mu.Unlock()
+	select {
+	case c.left <- struct{}{}:
+	default:
+	}
+}
+
+// read takes frames until the connection ends; the end of the connection is no error.
+func (c *conn) read() error {
+	in := inlet.New(thrift.MaxFrame + 4)
+	for {
+		frame, size, err := thrift.Frame(in.Bytes())
+		if err != nil {
+			return err
+		}
+		if size == 0 {
+			if err := in.Fill(c); err != nil {
+				if errors.Is(err, inlet.ErrFull) {
+					return err
+				}
+				return nil
+			}
+			continue
+		}
+		c.mu.Lock()
+		c.heard = time.Now()
+		full := len(c.open)+len(c.replies) >= mostOpen
+		c.mu.Unlock()
+		if full {
+			return errors.New("more open RPCs than a connection may carry")
+		}
+		if err := thrift.Decode(frame, c); err != nil {
+			return err
+		}
+		in.Take(size)
+	}
+}
+
+// Execute takes in one RPC.
+func (c *conn) Execute(seq int32, op, uid []byte, src int, recv, ttl, heap float64, dedupe, body []byte) {
+	now := clock()
+	method, known := c.methods[string(op)]
+	tokened := known && c.tokened(method)
+	switch {
+	case !known:
+		c.Unreadable(seq, "op")
+		return
+	case tokened && len(dedupe) == 0:
+		c.Unreadable(seq, "dedupe")
+		return
+	case recv < now-offClock || recv > now+offClock:
+		c.Unreadable(seq, "recv")
+		return
+	case ttl > offClock:
+		c.Unreadable(seq, "ttl")
+		return
+	}
+	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
+	token := ""
+	if tokened {
+		token = string(dedupe)
+	}
+	c.mu.Lock()
+	_, twice := c.open[seq]
+	if !twice {
+		c.open[seq] = k
+	}
+	c.mu.Unlock()
+	if twice { // to answer either would be to answer the other
+		c.log.Warn("sequence number in use", zap.Stringer("router", c.RemoteAddr()))
+		c.Close()
+		return
+	}
+	k.id = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, token, k)
+}
+
+// offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
+const offClock = 3600.0
+
+// Unreadable answers what cannot be run.
+func (c *conn) Unreadable(seq int32, why string) {
+	c.log.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
+	c.answer(reply{seq: seq, job: gate.Job[*call]{Do: gate.Abort}})
+}
+
+// Interrupt tells that nobody waits for an RPC any more.
+func (c *conn) Interrupt(target int32) {
+	c.mu.Lock()
+	k := c.open[target]
+	delete(c.open, target)
+	c.mu.Unlock()
+	if k != nil {
+		c.gate.Gone(clock(), k.id)
+	}
+}
+
+// Check answers a health check.
+func (c *conn) Check(seq int32) { c.answer(reply{seq: seq, job: gate.Job[*call]{Do: checked}}) }
+
+// Unknown answers a call of a method that there is not.
+func (c *conn) Unknown(seq int32, method string) {
+	c.answer(reply{seq: seq, job: gate.Job[*call]{Do: unknown, Result: []byte(method)}})
+}
+
+// answer leaves a reply to the connection's writer.
+func (c *conn) answer(r reply) {
+	c.mu.Lock()
+	if r.job.For != nil {
+		if c.open[r.seq] != r.job.For { // interrupted, or the connection has ended
+			c.mu.Unlock()
+			return
+		}
+		delete(c.open, r.seq)
+	}
+	c.replies = append(c.replies, r)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// write sends replies, several at once where they are ready, with the credit of that moment.
+func (c *conn) write(ctx context.Context) error {
+	var out []byte
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-c.wake:
+		}
+		c.mu.Lock()
+		replies := c.replies
+		c.replies, c.spare = c.spare[:0], nil
+		c.mu.Unlock()
+		out = c.encode(out[:0], replies)
+		clear(replies)
+		c.mu.Lock()
+		c.spare = replies
+		c.mu.Unlock()
+		c.SetWriteDeadline(time.Now().Add(stuck))
+		if _, err := c.Write(out); err != nil {
+			c.Close()
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+func (c *conn) encode(out []byte, replies []reply) []byte {
+	load := c.gate.Credit()
+	for _, r := range replies {
+		switch r.job.Do {
+		case gate.Serve:
+			out = thrift.Served(out, r.seq, r.job.Result, load)
+		case gate.PushBack:
+			out = thrift.PushedBack(out, r.seq, r.job.Last, r.job.After, load)
+		case gate.Abort:
+			out = thrift.Aborted(out, r.seq, load)
+		case checked:
+			out = thrift.Checked(out, r.seq, c.gate.Healthy(), load)
+		case unknown:
+			out = thrift.Unknown(out, r.seq, string(r.job.Result))
+		case draining:
+			out = thrift.Draining(out)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,239 @@
+// Package server is an app server that others can embed: it listens to routers, asks the gate what to do, has
+// the kernel do the work, and reports to the roster, from start to drain.
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"valveglade/charter"
+	"valveglade/gate"
+	"valveglade/internal/kernel"
+	"valveglade/internal/roster"
+	"valveglade/rpc"
+)
+
+// Server is one app server.
+type Server struct {
+	charter *charter.Charter
+	log     *zap.Logger
+	gate    *gate.Gate[*call]
+	link    *kernel.Link[*run]
+	methods map[string]int
+	group   *errgroup.Group
+
+	mu    sync.Mutex
+	conns map[*conn]struct{}
+	left  chan struct{} // holds one after a connection has ended
+}
+
+// run is a call that the kernel was asked to run.
+type run struct {
+	id gate.ID
+	*call
+}
+
+// keepShare of the memory is for kept results, collector's room included; what routers can make the process
+// hold beside them takes about a quarter on the largest number of connections.
+const keepShare = 8
+
+// New prepares an app server; nothing is opened before Serve.
+func New(c *charter.Charter, log *zap.Logger) *Server {
+	s := &Server{charter: c, log: log, methods: map[string]int{}, conns: map[*conn]struct{}{},
+		left: make(chan struct{}, 1)}
+	for k, name := range c.Methods {
+		s.methods[name] = k
+	}
+	s.gate = gate.New[*call](clock(), c.Rules, c.Memory/keepShare)
+	s.link = kernel.New[*run](c.Kernel, s, log)
+	return s
+}
+
+func clock() float64 { return float64(time.Now().UnixNano()) / 1e9 }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Serve runs until ctx ends, which is the notice to leave, and then until all that was read is answered and
+// the connections are closed, at the latest shortly before the charter's stop.
+func (s *Server) Serve(ctx context.Context) error {
+	// Go's collector holds to the limit as to a target; stacks and what the kernel keeps for the process come on
+	// top, so a quarter stays free.
+	debug.SetMemoryLimit(int64(s.charter.Memory) / 4 * 3)
+	listener, err := net.Listen("tcp", s.charter.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	live, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var all context.Context
+	s.group, all = errgroup.WithContext(live)
+	health := make(chan bool)
+	s.group.Go(func() error { return s.accept(all, listener.(*net.TCPListener)) })
+	s.group.Go(func() error { return s.link.Serve(all) })
+	s.group.Go(func() error { return s.dispatch(all) })
+	s.group.Go(func() error { return s.beat(all) })
+	s.group.Go(func() error { return s.watch(all, health) })
+	s.group.Go(func() error { return roster.Report(all, s.charter.Roster, s.charter.Name, s.gate.Healthy(), health) })
+	s.group.Go(func() error {
+		defer end()
+		return s.leave(ctx, all, listener)
+	})
+	s.log.Info("serving", zap.Stringer("listen", s.charter.Listen))
+	err = s.group.Wait()
+	if errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	s.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// What is left of the time before the kill once no router is to send any more, and once the process ends
+// whatever is still open: a connection is given up by its router within some tens of milliseconds.
+const lastCall, lastExit = 0.4, 0.15
+
+// leave waits for the notice and then sees the process out.
+func (s *Server) leave(ctx, all context.Context, listener net.Listener) error {
+	select {
+	case <-all.Done():
+		listener.Close()
+		return nil
+	case <-ctx.Done():
+	}
+	stop := clock() + s.charter.Stop
+	s.gate.Leave(clock(), stop)
+	// Until then late routers are answered rather than cut off.
+	if !sleep(all, stop-lastCall-clock()) {
+		listener.Close()
+		return nil
+	}
+	listener.Close()
+	for {
+		s.mu.Lock()
+		for c := range s.conns {
+			c.drain()
+		}
+		n := len(s.conns)
+		s.mu.Unlock()
+		if n == 0 {
+			return nil
+		}
+		if clock() > stop-lastExit {
+			s.log.Warn("connections cut off", zap.Int("connections", n))
+			return nil
+		}
+		select {
+		case <-all.Done():
+		case <-s.left:
+		case <-time.After(seconds(0.02)):
+		}
+	}
+}
+
+func sleep(ctx context.Context, t float64) bool {
+	timer := time.NewTimer(seconds(t))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// dispatch does what the gate picks.
+func (s *Server) dispatch(ctx context.Context) error {
+	for {
+		job, err := s.gate.Pick(ctx)
+		if err != nil {
+			return nil
+		}
+		switch job.Do {
+		case gate.Run:
+			err := s.link.Run(&run{job.RPC, job.For}, job.For.uid, s.charter.Methods[job.For.method], job.For.body)
+			if err != nil {
+				s.log.Warn("run not asked for", zap.Error(err))
+				s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
+			}
+		case gate.Pause:
+			s.link.Pause(job.For.uid)
+		default:
+			job.For.conn.answer(reply{job.For.seq, job})
+		}
+	}
+}
+
+// freshGauges: how long the gauges are waited for. They come from the same machine; past it the time matters
+// more than they do.
+const freshGauges = 10 * time.Millisecond
+
+// beat brings the gate the time and the gauges as often as it asks.
+func (s *Server) beat(ctx context.Context) error {
+	due := clock()
+	for {
+		gauges := s.link.Gauges(freshGauges)
+		now := clock()
+		due = max(due+s.gate.Tick(now, gauges), now) // what was missed is not made up for
+		if !sleep(ctx, due-now) {
+			return nil
+		}
+	}
+}
+
+// tidyEvery is how often connections are looked at; idle times are many times that.
+const tidyEvery = 250 * time.Millisecond
+
+// watch passes on changes of condition and closes connections that have been idle.
+func (s *Server) watch(ctx context.Context, health chan<- bool) error {
+	tidy := time.NewTicker(tidyEvery)
+	defer tidy.Stop()
+	healthy := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tidy.C:
+			s.tidy()
+		case <-s.gate.Changed():
+		}
+		for _, note := range s.gate.Notes() {
+			s.log.Info(note)
+		}
+		if now := s.gate.Healthy(); now != healthy {
+			healthy = now
+			s.log.Info("health", zap.Bool("good", healthy))
+			select {
+			case health <- healthy:
+			case <-ctx.Done():
+			}
+		}
+	}
+}
+
+// Booted is the kernel's first word.
+func (s *Server) Booted(ago float64, cold bool) { s.gate.Boot(clock()-ago, cold) }
+
+// Ended is the kernel's word on a run.
+func (s *Server) Ended(r *run, took float64, result []byte, err error) {
+	how := rpc.OK
+	if attempt := (*kernel.Attempt)(nil); errors.As(err, &attempt) {
+		switch {
+		case attempt.Reach == kernel.NeverRan:
+			how = rpc.Moot
+		case attempt.Stopped:
+			how = rpc.Cancelled
+		default:
+			how = rpc.Error
+		}
+	}
+	s.gate.Report(clock(), r.id, how, took, result)
+}
+
+func (s *Server) tokened(method int) bool { return s.charter.Rules.Methods[method].Kind == rpc.Tokened }
