--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,250 @@
+package gate
+
+import (
+	"context"
+	"fmt"
+
+	"valveglade/rpc"
+)
+
+const (
+	read = iota
+	write
+)
+
+// street plays the network to a gate: it prints what Pick gives, and knows RPCs by name.
+type street struct {
+	*Gate[string]
+	now float64
+	ids map[string]ID
+}
+
+func open(cores, keep int) *street {
+	c := rpc.Charter{
+		Methods: []rpc.Method{
+			{Kind: rpc.Idempotent, Target: 1.2, Deadline: 4, Criticality: 1},
+			{Kind: rpc.Tokened, Target: 2.4, Deadline: 8, Window: 10, Criticality: 3, LateShare: 0.2},
+		},
+		Machine: rpc.Machine{Callers: 2, Cores: cores, EntryKB: 10, MemoryKB: 4000, RunFactor: 4, KeepAlive: 30,
+			Preemption: rpc.Freezes, Signal: rpc.Allowance},
+		Rules: rpc.Rules{Crowd: 5, Grace: 1},
+	}
+	return &street{Gate: New[string](100, c, keep), now: 100, ids: map[string]ID{}}
+}
+
+func (s *street) arrive(name string, method int, token string) {
+	s.ids[name] = s.Arrive(s.now, method, 0, s.now, s.now+4, 20, token, name)
+	s.say()
+}
+
+func (s *street) report(name string, how rpc.Outcome, result string) {
+	s.Report(s.now, s.ids[name], how, 0.3, []byte(result))
+	s.say()
+}
+
+func (s *street) gone(name string) {
+	s.Gone(s.now, s.ids[name])
+	s.say()
+}
+
+func (s *street) pass(t float64) {
+	for end := s.now + t - 1e-9; s.now < end; {
+		s.now += s.Tick(s.now+0.02, nil)
+		s.say()
+	}
+}
+
+// say prints what there is to do by now.
+func (s *street) say() {
+	none, stop := context.WithCancel(context.Background())
+	stop()
+	for {
+		job, err := s.Pick(none)
+		if err != nil {
+			return
+		}
+		fmt.Printf("%5.2f %s: ", s.now-100, job.For)
+		switch job.Do {
+		case Run:
+			fmt.Println("run")
+		case Pause:
+			fmt.Println("pause")
+		case Serve:
+			fmt.Printf("ok %q\n", job.Result)
+		case PushBack:
+			fmt.Println("pushed back")
+		case Abort:
+			fmt.Println("aborted")
+		}
+	}
+}
+
+// One answer, whichever of an outcome, the caller's end and a further outcome comes first.
+func Example_life() {
+	s := open(2, 1000)
+	s.arrive("a", read, "")
+	s.report("a", rpc.OK, "1")
+	s.report("a", rpc.OK, "again")
+	s.arrive("b", read, "")
+	s.gone("b")
+	s.report("b", rpc.Cancelled, "")
+	s.arrive("c", read, "")
+	s.report("c", rpc.Error, "")
+	s.gone("c")
+	s.arrive("d", read, "")
+	s.gone("a") // a's index is d's by now
+	s.report("d", rpc.Moot, "")
+	// Output:
+	//  0.00 a: run
+	//  0.00 a: ok "1"
+	//  0.00 b: run
+	//  0.00 b: pause
+	//  0.00 c: run
+	//  0.00 c: aborted
+	//  0.00 d: run
+	//  0.00 d: aborted
+}
+
+// A repeat takes the place of a held try, waits for one that runs, gets the kept result of one that ran, and
+// runs again only after the window.
+func Example_repeats() {
+	s := open(1, 1000)
+	s.arrive("busy", read, "")
+	s.arrive("a1", write, "t")
+	s.arrive("a2", write, "t")
+	s.report("busy", rpc.OK, "")
+	s.arrive("a3", write, "t")
+	s.arrive("a4", write, "t")
+	s.gone("a4")
+	s.report("a2", rpc.OK, "done")
+	s.arrive("a5", write, "t")
+	s.pass(10.1)
+	s.arrive("a6", write, "t")
+	// Output:
+	//  0.00 busy: run
+	//  0.00 a1: pushed back
+	//  0.00 busy: ok ""
+	//  0.00 a2: run
+	//  0.00 a2: ok "done"
+	//  0.00 a3: ok "done"
+	//  0.00 a5: ok "done"
+	// 10.10 a6: run
+}
+
+// A failed run is never run again; one that is proven not to have started is forgotten.
+func Example_failed() {
+	s := open(1, 1000)
+	s.arrive("a1", write, "t")
+	s.arrive("a2", write, "t")
+	s.report("a1", rpc.Error, "")
+	s.arrive("a3", write, "t")
+	s.arrive("b1", write, "u")
+	s.gone("b1")
+	s.report("b1", rpc.Moot, "")
+	s.arrive("b2", write, "u")
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: aborted
+	//  0.00 a2: aborted
+	//  0.00 a3: aborted
+	//  0.00 b1: run
+	//  0.00 b2: run
+}
+
+// The outcome of a tokened RPC whose caller has left is kept for the repeat.
+func Example_kept() {
+	s := open(1, 1000)
+	s.arrive("a1", write, "t")
+	s.gone("a1")
+	s.arrive("a2", write, "t")
+	s.report("a1", rpc.OK, "done")
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a2: ok "done"
+}
+
+// Past the room for results the oldest is dropped; its repeat is aborted, and not run.
+func Example_room() {
+	s := open(2, 8)
+	for _, name := range []string{"a", "b"} {
+		s.arrive(name, write, name)
+		s.report(name, rpc.OK, "12345")
+	}
+	s.arrive("a2", write, "a")
+	s.arrive("b2", write, "b")
+	// Output:
+	//  0.00 a: run
+	//  0.00 a: ok "12345"
+	//  0.00 b: run
+	//  0.00 b: ok "12345"
+	//  0.00 a2: aborted
+	//  0.00 b2: ok "12345"
+}
+
+// The window counts from recv: a repeat that came to the machine in time is known however late it is read, and
+// one of a try whose recv lies ahead of the clock for as much longer.
+func Example_window() {
+	s := open(2, 1000)
+	s.arrive("a1", write, "t")
+	s.report("a1", rpc.OK, "done")
+	s.ids["b1"] = s.Arrive(s.now, write, 0, s.now+3, s.now+4, 20, "u", "b1")
+	s.say()
+	s.pass(12)
+	s.Arrive(s.now, write, 0, s.now-2.5, s.now+4, 20, "t", "a2")
+	s.say()
+	s.arrive("b2", write, "u")
+	s.report("b1", rpc.OK, "too")
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 b1: run
+	//  3.98 b1: aborted
+	// 12.00 a2: ok "done"
+	// 12.00 b2: ok "too"
+}
+
+// Leaving: all is answered before the stop, also a repeat whose outcome has not come.
+func Example_leave() {
+	s := open(1, 1000)
+	s.arrive("a1", write, "t")
+	s.arrive("a2", write, "t")
+	s.arrive("b", read, "")
+	s.Leave(s.now, s.now+1.5)
+	s.say()
+	fmt.Println("healthy", s.Healthy(), "credit", s.Credit())
+	s.pass(1.1)
+	s.arrive("late", read, "")
+	s.report("a1", rpc.OK, "done")
+	// Output:
+	//  0.00 a1: run
+	// healthy false credit 0
+	//  0.98 a1: aborted
+	//  0.98 a2: aborted
+	//  0.98 b: pushed back
+	//  1.10 late: pushed back
+}
+
+// The kernel says when it came up: a module that has read nothing starts then, one that has goes on.
+func Example_boot() {
+	s := open(2, 1000)
+	s.Boot(99, true)
+	s.arrive("a", read, "")
+	s.Boot(100, true)
+	s.report("a", rpc.OK, "1")
+	// Output:
+	//  0.00 a: run
+	//  0.00 a: ok "1"
+}
+
+// Pick gives what is decided while it waits.
+func Example_pick() {
+	s := open(1, 1000)
+	picked := make(chan Job[string])
+	go func() {
+		job, _ := s.Pick(context.Background())
+		picked <- job
+	}()
+	s.Arrive(s.now, read, 0, s.now, s.now+4, 20, "", "a")
+	fmt.Println((<-picked).For)
+	// Output: a
+}
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -14,11 +14,7 @@
 // Report says whether the app server takes work, each period and at once on each change, until ctx ends. A
 // roster that is down answers nothing, so a report that could not be sent is one more that was lost.
 func Report(ctx context.Context, at netip.AddrPort, name string, first bool, changes <-chan bool) error {
-	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(at))
-	if err != nil {
-		return err
-	}
-	defer conn.Close()
+	var conn net.Conn
 	beat := time.NewTicker(period)
 	defer beat.Stop()
 	for on := first; ; {
@@ -26,7 +22,15 @@
 		if !on {
 			word = " off"
 		}
-		conn.Write([]byte("HERE " + name + word))
+		if conn == nil {
+			if c, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(at)); err == nil {
+				defer c.Close()
+				conn = c
+			}
+		}
+		if conn != nil {
+			conn.Write([]byte("HERE " + name + word))
+		}
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -122,7 +122,7 @@
 			return false
 		}
 		keys, values, n := r.byte(), r.byte(), r.i32()
-		if n != 0 && (keys != typeString || values != typeString) {
+		if n < 0 || n > 0 && (keys != typeString || values != typeString) {
 			r.short = true // of no use to anybody
 			return true
 		}
@@ -278,7 +278,9 @@
 		if kind == typeMap {
 			kinds = append(kinds, r.byte())
 		}
-		for n := r.i32(); n > 0 && !r.short; n-- {
+		n := r.i32()
+		r.short = r.short || n < 0
+		for ; n > 0 && !r.short; n-- {
 			for _, k := range kinds {
 				if err := r.skip(k, depth+1); err != nil {
 					return err
--- a/server/conn.go
+++ b/server/conn.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -25,6 +25,8 @@
 	body   []byte
 }
 
+func (k *call) size() int64 { return int64(callSize + len(k.body)) }
+
 // reply is an answer that waits to be written; without a job it is one of those that the gate has no part in.
 type reply struct {
 	seq int32
@@ -49,92 +51,31 @@
 	heard   time.Time
 	drained time.Time // when the router was asked to leave, zero before
 	wake    chan struct{}
+	odd     bool // something unreadable came, and has been logged
 }
 
 const (
-	mostOpen  = 128              // RPCs open or answered and unwritten: the protocol's 32, and more that were interrupted
+	mostOpen  = 128              // RPCs open or with an unwritten answer: 32, and interrupted ones
 	stuck     = 10 * time.Second // a router that does not read for so long has lost its answers
-	leaveTime = time.Second      // for a router that was asked to close an idle connection
-	reserve   = 16               // descriptors for the listener, the kernel, the roster, Go itself
+	writeSize = 16 << 10         // answers gathered for one write
+	callSize  = 1 << 10          // what an RPC takes beside its body, about
 )
 
-// accept takes connections up to what the descriptors allow. Past that the longest idle one goes.
-func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
-	for {
-		for s.crowded() {
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-s.left:
-			case <-time.After(tidyEvery):
-			}
-		}
-		nc, err := listener.Accept()
-		switch {
-		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
-			return nil
-		case err != nil:
-			s.log.Warn("accept", zap.Error(err))
-			if !sleep(ctx, 0.05) {
-				return nil
-			}
-			continue
-		}
-		c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, heard: time.Now(), wake: make(chan struct{}, 1)}
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		live, end := context.WithCancel(ctx)
-		context.AfterFunc(live, func() { nc.Close() })
-		s.group.Go(func() error {
-			defer end()
-			c.stopPanic(func() error { return c.write(live) })
-			return nil
-		})
-		s.group.Go(func() error {
-			c.stopPanic(func() error { return c.read() })
-			end()
-			c.over()
-			return nil
-		})
-	}
-}
-
-// crowded tells whether there is room for no further connection, and asks the longest idle one to go.
-func (s *Server) crowded() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.conns) < s.charter.Sockets-reserve {
-		return false
-	}
-	var idlest *conn
-	since := time.Now()
-	for c := range s.conns {
-		if at, idle := c.idle(); idle && at.Before(since) {
-			idlest, since = c, at
-		}
-	}
-	if idlest != nil {
-		idlest.drain()
-	}
-	return true
-}
-
-// tidy closes what has been idle for as long as the module says.
-func (s *Server) tidy() {
-	after := s.gate.Idle()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for c := range s.conns {
-		at, idle := c.idle()
-		switch {
-		case !idle:
-		case c.asked() > leaveTime:
-			c.Close()
-		case after > 0 && time.Since(at) > seconds(after):
-			c.drain()
-		}
-	}
+// serve reads and writes until the connection ends.
+func (c *conn) serve(ctx context.Context) {
+	live, end := context.WithCancel(ctx)
+	context.AfterFunc(live, func() { c.Close() })
+	c.group.Go(func() error {
+		defer end()
+		c.stopPanic(func() error { return c.write(live) })
+		return nil
+	})
+	c.group.Go(func() error {
+		defer c.over()
+		defer end()
+		c.stopPanic(c.read)
+		return nil
+	})
 }
 
 func (c *conn) idle() (since time.Time, idle bool) {
@@ -188,6 +129,7 @@
 	c.open = nil
 	c.mu.Unlock()
 	for _, k := range open {
+		c.held.Add(-k.size())
 		c.gate.Gone(clock(), k.id)
 	}
 	c.Server.mu.Lock()
@@ -250,6 +192,11 @@
 		return
 	}
 	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
+	if c.held.Add(k.size()) > int64(c.charter.Memory/heldShare) {
+		c.held.Add(-k.size())
+		c.Unreadable(seq, "no memory for it")
+		return
+	}
 	token := ""
 	if tokened {
 		token = string(dedupe)
@@ -261,6 +208,7 @@
 	}
 	c.mu.Unlock()
 	if twice { // to answer either would be to answer the other
+		c.held.Add(-k.size())
 		c.log.Warn("sequence number in use", zap.Stringer("router", c.RemoteAddr()))
 		c.Close()
 		return
@@ -273,7 +221,10 @@
 
 // Unreadable answers what cannot be run.
 func (c *conn) Unreadable(seq int32, why string) {
-	c.log.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
+	if !c.odd {
+		c.odd = true
+		c.log.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
+	}
 	c.answer(reply{seq: seq, job: gate.Job[*call]{Do: gate.Abort}})
 }
 
@@ -284,6 +235,7 @@
 	delete(c.open, target)
 	c.mu.Unlock()
 	if k != nil {
+		c.held.Add(-k.size())
 		c.gate.Gone(clock(), k.id)
 	}
 }
@@ -305,6 +257,7 @@
 			return
 		}
 		delete(c.open, r.seq)
+		c.held.Add(-r.job.For.size())
 	}
 	c.replies = append(c.replies, r)
 	c.mu.Unlock()
@@ -327,25 +280,30 @@
 		replies := c.replies
 		c.replies, c.spare = c.spare[:0], nil
 		c.mu.Unlock()
-		out = c.encode(out[:0], replies)
+		for rest := replies; len(rest) > 0; {
+			out, rest = c.encode(out[:0], rest)
+			c.SetWriteDeadline(time.Now().Add(stuck))
+			if _, err := c.Write(out); errors.Is(err, os.ErrDeadlineExceeded) {
+				return errors.New("the router does not read its answers")
+			} else if err != nil { // it has left
+				c.Close()
+				return nil
+			}
+		}
 		clear(replies)
 		c.mu.Lock()
 		c.spare = replies
 		c.mu.Unlock()
-		c.SetWriteDeadline(time.Now().Add(stuck))
-		if _, err := c.Write(out); err != nil {
-			c.Close()
-			if errors.Is(err, net.ErrClosed) || errors.Is(err, io.EOF) {
-				return nil
-			}
-			return err
-		}
 	}
 }
 
-func (c *conn) encode(out []byte, replies []reply) []byte {
+// encode appends the replies that make up one write, and gives the rest.
+func (c *conn) encode(out []byte, replies []reply) ([]byte, []reply) {
 	load := c.gate.Credit()
-	for _, r := range replies {
+	for k, r := range replies {
+		if len(out) >= writeSize {
+			return out, replies[k:]
+		}
 		switch r.job.Do {
 		case gate.Serve:
 			out = thrift.Served(out, r.seq, r.job.Result, load)
@@ -361,5 +319,5 @@
 			out = thrift.Draining(out)
 		}
 	}
-	return out
+	return out, nil
 }
--- a/server/server.go
+++ b/server/server.go
@@ -9,6 +9,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -30,20 +31,21 @@
 	methods map[string]int
 	group   *errgroup.Group
 
+	held  atomic.Int64 // bytes of RPCs whose answer is owed, about
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	left  chan struct{} // holds one after a connection has ended
 }
 
-// run is a call that the kernel was asked to run.
+// run is a call which the kernel was asked to run.
 type run struct {
 	id gate.ID
 	*call
 }
 
-// keepShare of the memory is for kept results, collector's room included; what routers can make the process
-// hold beside them takes about a quarter on the largest number of connections.
-const keepShare = 8
+// These parts of the memory are for kept results and for RPCs whose answer is owed. The collector lets garbage
+// grow to as much again; the rest is for buffers and stacks, a quarter on the largest number of connections.
+const keepShare, heldShare = 8, 4
 
 // New prepares an app server; nothing is opened before Serve.
 func New(c *charter.Charter, log *zap.Logger) *Server {
@@ -81,7 +83,9 @@
 	s.group.Go(func() error { return s.dispatch(all) })
 	s.group.Go(func() error { return s.beat(all) })
 	s.group.Go(func() error { return s.watch(all, health) })
-	s.group.Go(func() error { return roster.Report(all, s.charter.Roster, s.charter.Name, s.gate.Healthy(), health) })
+	s.group.Go(func() error {
+		return roster.Report(all, s.charter.Roster, s.charter.Name, s.gate.Healthy(), health)
+	})
 	s.group.Go(func() error {
 		defer end()
 		return s.leave(ctx, all, listener)
@@ -187,9 +191,6 @@
 	}
 }
 
-// tidyEvery is how often connections are looked at; idle times are many times that.
-const tidyEvery = 250 * time.Millisecond
-
 // watch passes on changes of condition and closes connections that have been idle.
 func (s *Server) watch(ctx context.Context, health chan<- bool) error {
 	tidy := time.NewTicker(tidyEvery)
