Keep a panic, a second BOOTED and a site without gauges from costing more than they must

Read of the code: an answer being written did not count as open, so that an idle close could have cut it; the time of an answer did not count as use of its connection; a panic of a look or a report ended the process; a second BOOTED sent commands again, and a site that allows no SYSINFO left the link waiting for ever.

--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -268,7 +268,7 @@
 // read takes notices until the connection ends.
 func (l *Link[K]) read(conn net.Conn, up func()) error {
 	in := inlet.New(maxLine)
-	first, blind := true, false
+	booted, first, blind, gaugeless := false, true, false, false
 	for {
 		b := in.Bytes()
 		end := bytes.IndexByte(b, '\n')
@@ -290,6 +290,9 @@
 		}
 		err := json.Unmarshal(b[:end], &m)
 		in.Take(end + 1)
+		if booted {
+			conn.SetReadDeadline(time.Now().Add(silence))
+		}
 		if err != nil {
 			if !blind {
 				l.log.Warn("kernel line passed over", zap.Error(err))
@@ -309,14 +312,16 @@
 		}
 		switch m.Action {
 		case "BOOTED":
+			if booted {
+				continue
+			}
+			booted = true
 			l.owner.Booted(m.Took/1000, m.Code == "starting")
 			l.mu.Lock()
 			l.sync()
 			l.mu.Unlock()
-			conn.SetReadDeadline(time.Now().Add(silence))
 			up()
 		case "INFO":
-			conn.SetReadDeadline(time.Now().Add(silence))
 			l.inform(m.Echo, m.Meters)
 		case "REAP":
 			took := m.Took / 1000
@@ -331,9 +336,15 @@
 				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Why: m.Code})
 			}
 		case "EINVAL":
-			l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
-			if m.Code == "SCHED" {
+			if m.Code != "SYSINFO" || !gaugeless {
+				l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
+			}
+			switch m.Code {
+			case "SCHED":
 				l.ended(m.UID, 0, nil, &Attempt{Reach: Sent, Why: "not carried out"})
+			case "SYSINFO": // a site without gauges: it marks the order of commands all the same
+				gaugeless = true
+				l.inform("", nil)
 			}
 		case "DMESG":
 		default:
@@ -355,6 +366,8 @@
 		return false, true
 	case pos > l.pos+1 && !lost:
 		return false, false
+	case pos > l.pos+1:
+		l.log.Warn("notices lost", zap.Int("from", l.pos+1), zap.Int("to", pos-1))
 	}
 	l.pos = pos
 	return true, true
@@ -374,12 +387,14 @@
 func (l *Link[K]) inform(echo string, meters []float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if echo != l.asked {
+	if l.asked == "" || echo != "" && echo != l.asked {
 		return
 	}
+	echo = l.asked // only one is on its way
 	l.up, l.asked, l.meters, l.measured = true, "", meters, time.Now()
 	k := slices.IndexFunc(l.unread, func(c command) bool { return c.echo == echo })
 	l.unread = slices.Delete(l.unread, 0, k+1)
+	l.unsent = min(l.unsent, len(l.unread))
 	signal(l.informed)
 	signal(l.work)
 }
--- a/internal/kernel/link_test.go
+++ b/internal/kernel/link_test.go
@@ -21,7 +21,8 @@
 	lines *bufio.Reader
 	told  chan string // what the link told its owner
 	*Link[string]
-	end func()
+	end     func()
+	without bool // gauges
 }
 
 func start() *cores {
@@ -66,7 +67,11 @@
 		line, err := c.lines.ReadString('\n')
 		fmt.Println("<", strings.TrimSpace(line), err)
 		var m struct{ Action, Echo string }
-		if json.Unmarshal([]byte(line), &m); m.Action == "SYSINFO" {
+		switch json.Unmarshal([]byte(line), &m); {
+		case m.Action != "SYSINFO":
+		case c.without:
+			c.say(`{"action":"EINVAL","code":"SYSINFO"}`)
+		default:
 			c.say(`{"action":"INFO","echo":"` + m.Echo + `","meters":[0.5,3]}`)
 		}
 	}
@@ -178,6 +183,36 @@
 	// ended: <nil>
 }
 
+// Where the site allows no gauges commands go out all the same; a second BOOTED changes nothing, and an INFO
+// that nobody asked for proves nothing to have been read.
+func Example_gaugeless() {
+	c := start()
+	c.without = true
+	c.accept()
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.hear(1)
+	c.Run("A", "a", "look", nil)
+	c.hear(1)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`, `{"action":"INFO","meters":[1]}`)
+	c.Run("B", "b", "look", nil)
+	c.hear(1)
+	c.conn.Close()
+	c.accept()
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.hear(3)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// ended: <nil>
+}
+
 // A missing notice is asked for again, once; lines that cannot be read are passed over.
 func Example_gap() {
 	c := start()
--- a/server/conn.go
+++ b/server/conn.go
@@ -48,7 +48,8 @@
 	open    map[int32]*call // read, no answer written
 	replies []reply
 	spare   []reply
-	heard   time.Time
+	writing bool      // an answer is on its way out
+	used    time.Time // last frame either way
 	drained time.Time // when the router was asked to leave, zero before
 	wake    chan struct{}
 	odd     bool // something unreadable came, and has been logged
@@ -67,13 +68,13 @@
 	context.AfterFunc(live, func() { c.Close() })
 	c.group.Go(func() error {
 		defer end()
-		c.stopPanic(func() error { return c.write(live) })
+		c.contain(func() error { return c.write(live) })
 		return nil
 	})
 	c.group.Go(func() error {
 		defer c.over()
 		defer end()
-		c.stopPanic(c.read)
+		c.contain(c.read)
 		return nil
 	})
 }
@@ -81,7 +82,7 @@
 func (c *conn) idle() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.heard, len(c.open) == 0 && len(c.replies) == 0
+	return c.used, len(c.open) == 0 && len(c.replies) == 0 && !c.writing
 }
 
 // asked is for how long the router has known that it should close.
@@ -108,15 +109,9 @@
 	}
 }
 
-// stopPanic ends the connection, and nothing else, on a panic.
-func (c *conn) stopPanic(f func() error) {
-	defer func() {
-		if p := recover(); p != nil {
-			c.log.Error("panic on a connection", zap.Any("panic", p), zap.Stack("stack"))
-			c.Close()
-		}
-	}()
-	if err := f(); err != nil {
+// contain runs one side of the connection; its error or a panic ends the connection, and nothing else.
+func (c *conn) contain(side func() error) {
+	if err := c.stopPanic(side); err != nil {
 		c.log.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
 		c.Close()
 	}
@@ -159,7 +154,7 @@
 			continue
 		}
 		c.mu.Lock()
-		c.heard = time.Now()
+		c.used = time.Now()
 		full := len(c.open)+len(c.replies) >= mostOpen
 		c.mu.Unlock()
 		if full {
@@ -279,6 +274,7 @@
 		c.mu.Lock()
 		replies := c.replies
 		c.replies, c.spare = c.spare[:0], nil
+		c.writing = true
 		c.mu.Unlock()
 		for rest := replies; len(rest) > 0; {
 			out, rest = c.encode(out[:0], rest)
@@ -292,7 +288,7 @@
 		}
 		clear(replies)
 		c.mu.Lock()
-		c.spare = replies
+		c.spare, c.writing, c.used = replies, false, time.Now()
 		c.mu.Unlock()
 	}
 }
--- a/server/listen.go
+++ b/server/listen.go
@@ -47,7 +47,7 @@
 		}
 		nc.SetReadBuffer(socketBuffer)
 		nc.SetWriteBuffer(socketBuffer)
-		c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, heard: time.Now(), wake: make(chan struct{}, 1)}
+		c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, used: time.Now(), wake: make(chan struct{}, 1)}
 		s.mu.Lock()
 		s.conns[c] = struct{}{}
 		s.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -183,13 +183,21 @@
 // more than they do.
 const freshGauges = 10 * time.Millisecond
 
+// lookAgain is for a look that failed: often enough for any due time.
+const lookAgain = 0.02
+
 // beat brings the gate the time and the gauges as often as it asks.
 func (s *Server) beat(ctx context.Context) error {
 	due := clock()
 	for {
 		gauges := s.link.Gauges(freshGauges)
 		now := clock()
-		due = max(due+s.gate.Tick(now, gauges), now) // what was missed is not made up for
+		after := lookAgain
+		s.stopPanic(func() error {
+			after = s.gate.Tick(now, gauges)
+			return nil
+		})
+		due = max(due+after, now) // what was missed is not made up for
 		if !sleep(ctx, due-now) {
 			return nil
 		}
@@ -223,6 +231,17 @@
 	}
 }
 
+// stopPanic makes a panic an error: what came with it is lost, the process goes on.
+func (s *Server) stopPanic(f func() error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.log.Error("panic", zap.Any("panic", p), zap.Stack("stack"))
+			err = fmt.Errorf("panic: %v", p)
+		}
+	}()
+	return f()
+}
+
 // Booted is the kernel's first word.
 func (s *Server) Booted(ago float64, cold bool) { s.gate.Boot(clock()-ago, cold) }
 
@@ -239,7 +258,10 @@
 			how = rpc.Error
 		}
 	}
-	s.gate.Report(clock(), r.id, how, took, result)
+	s.stopPanic(func() error {
+		s.gate.Report(clock(), r.id, how, took, result)
+		return nil
+	})
 }
 
 func (s *Server) tokened(method int) bool { return s.charter.Rules.Methods[method].Kind == rpc.Tokened }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -392,6 +392,23 @@
 	// served: <nil>
 }
 
+// A connection with nothing open is asked to end after the idle time, and closed if its router does not.
+func Example_idle() {
+	t := open(func(c *charter.Charter) { c.Rules.Machine.KeepAlive = 0.1 })
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	t.reap(1, "fine", "one")
+	r.hear(3)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// router: draining, type 4
+	// router: the connection ends
+	// served: <nil>
+}
+
 // Embedding: an app server beside others in one process.
 func ExampleServer() {
 	c, err := charter.FromEnv()
