Queue an answer under the lock that closes its RPC, and fold replies into one form

Read of the code: between an RPC's end and its queued answer the connection looked idle, so a close of idle connections could cut the answer; an unreadable RPC with the number of an open one got that one a second answer. Replies are functions now, so the server adds no kinds of job to the gate's.

--- a/server/conn.go
+++ b/server/conn.go
@@ -27,17 +27,20 @@
 
 func (k *call) size() int64 { return int64(callSize + len(k.body)) }
 
-// reply is an answer that waits to be written; without a job it is one of those that the gate has no part in.
-type reply struct {
-	seq int32
-	job gate.Job[*call]
+// answer takes the RPC's answer to its connection, unless nobody there waits for it any more.
+func (k *call) answer(r reply) {
+	c := k.conn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[k.seq] == k {
+		delete(c.open, k.seq)
+		c.held.Add(-k.size())
+		c.queue(r)
+	}
 }
 
-const (
-	checked  gate.Do = 0x80 + iota // a health check
-	unknown                        // a Thrift method that there is not
-	draining                       // not an answer: no new RPC, please
-)
+// reply writes one message behind others, with the credit of that moment.
+type reply func(out []byte, load float64) []byte
 
 // conn is one connection of a router.
 type conn struct {
@@ -105,7 +108,7 @@
 	}
 	c.mu.Unlock()
 	if first {
-		c.answer(reply{job: gate.Job[*call]{Do: draining}})
+		c.say(func(out []byte, _ float64) []byte { return thrift.Draining(out) })
 	}
 }
 
@@ -169,6 +172,9 @@
 
 // Execute takes in one RPC.
 func (c *conn) Execute(seq int32, op, uid []byte, src int, recv, ttl, heap float64, dedupe, body []byte) {
+	if c.twice(seq) {
+		return
+	}
 	now := clock()
 	method, known := c.methods[string(op)]
 	tokened := known && c.tokened(method)
@@ -197,30 +203,37 @@
 		token = string(dedupe)
 	}
 	c.mu.Lock()
-	_, twice := c.open[seq]
-	if !twice {
-		c.open[seq] = k
-	}
+	c.open[seq] = k
 	c.mu.Unlock()
-	if twice { // to answer either would be to answer the other
-		c.held.Add(-k.size())
-		c.log.Warn("sequence number in use", zap.Stringer("router", c.RemoteAddr()))
-		c.Close()
-		return
-	}
 	k.id = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, token, k)
 }
 
 // offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
 const offClock = 3600.0
 
+// twice ends a connection that gives the number of an open RPC to another: to answer either would be to answer
+// both.
+func (c *conn) twice(seq int32) bool {
+	c.mu.Lock()
+	_, open := c.open[seq]
+	c.mu.Unlock()
+	if open {
+		c.log.Warn("sequence number in use", zap.Stringer("router", c.RemoteAddr()))
+		c.Close()
+	}
+	return open
+}
+
 // Unreadable answers what cannot be run.
 func (c *conn) Unreadable(seq int32, why string) {
+	if c.twice(seq) {
+		return
+	}
 	if !c.odd {
 		c.odd = true
 		c.log.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
 	}
-	c.answer(reply{seq: seq, job: gate.Job[*call]{Do: gate.Abort}})
+	c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
 }
 
 // Interrupt tells that nobody waits for an RPC any more.
@@ -236,26 +249,25 @@
 }
 
 // Check answers a health check.
-func (c *conn) Check(seq int32) { c.answer(reply{seq: seq, job: gate.Job[*call]{Do: checked}}) }
+func (c *conn) Check(seq int32) {
+	c.say(func(out []byte, load float64) []byte { return thrift.Checked(out, seq, c.gate.Healthy(), load) })
+}
 
 // Unknown answers a call of a method that there is not.
 func (c *conn) Unknown(seq int32, method string) {
-	c.answer(reply{seq: seq, job: gate.Job[*call]{Do: unknown, Result: []byte(method)}})
+	c.say(func(out []byte, _ float64) []byte { return thrift.Unknown(out, seq, method) })
 }
 
-// answer leaves a reply to the connection's writer.
-func (c *conn) answer(r reply) {
+// say leaves a reply that no RPC waits for to the connection's writer.
+func (c *conn) say(r reply) {
 	c.mu.Lock()
-	if r.job.For != nil {
-		if c.open[r.seq] != r.job.For { // interrupted, or the connection has ended
-			c.mu.Unlock()
-			return
-		}
-		delete(c.open, r.seq)
-		c.held.Add(-r.job.For.size())
-	}
+	defer c.mu.Unlock()
+	c.queue(r)
+}
+
+// queue is called under the lock, so that a connection with an answer to write never looks idle.
+func (c *conn) queue(r reply) {
 	c.replies = append(c.replies, r)
-	c.mu.Unlock()
 	select {
 	case c.wake <- struct{}{}:
 	default:
@@ -277,7 +289,10 @@
 		c.writing = true
 		c.mu.Unlock()
 		for rest := replies; len(rest) > 0; {
-			out, rest = c.encode(out[:0], rest)
+			load := c.gate.Credit()
+			for out = out[:0]; len(rest) > 0 && len(out) < writeSize; rest = rest[1:] {
+				out = rest[0](out, load)
+			}
 			c.SetWriteDeadline(time.Now().Add(stuck))
 			if _, err := c.Write(out); errors.Is(err, os.ErrDeadlineExceeded) {
 				return errors.New("the router does not read its answers")
@@ -292,28 +307,3 @@
 		c.mu.Unlock()
 	}
 }
-
-// encode appends the replies that make up one write, and gives the rest.
-func (c *conn) encode(out []byte, replies []reply) ([]byte, []reply) {
-	load := c.gate.Credit()
-	for k, r := range replies {
-		if len(out) >= writeSize {
-			return out, replies[k:]
-		}
-		switch r.job.Do {
-		case gate.Serve:
-			out = thrift.Served(out, r.seq, r.job.Result, load)
-		case gate.PushBack:
-			out = thrift.PushedBack(out, r.seq, r.job.Last, r.job.After, load)
-		case gate.Abort:
-			out = thrift.Aborted(out, r.seq, load)
-		case checked:
-			out = thrift.Checked(out, r.seq, c.gate.Healthy(), load)
-		case unknown:
-			out = thrift.Unknown(out, r.seq, string(r.job.Result))
-		case draining:
-			out = thrift.Draining(out)
-		}
-	}
-	return out, nil
-}
--- a/server/server.go
+++ b/server/server.go
@@ -19,6 +19,7 @@
 	"valveglade/gate"
 	"valveglade/internal/kernel"
 	"valveglade/internal/roster"
+	"valveglade/internal/thrift"
 	"valveglade/rpc"
 )
 
@@ -164,17 +165,23 @@
 		if err != nil {
 			return nil
 		}
+		k := job.For
 		switch job.Do {
 		case gate.Run:
-			err := s.link.Run(&run{job.RPC, job.For}, job.For.uid, s.charter.Methods[job.For.method], job.For.body)
-			if err != nil {
+			if err := s.link.Run(&run{job.RPC, k}, k.uid, s.charter.Methods[k.method], k.body); err != nil {
 				s.log.Warn("run not asked for", zap.Error(err))
 				s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
 			}
 		case gate.Pause:
-			s.link.Pause(job.For.uid)
-		default:
-			job.For.conn.answer(reply{job.For.seq, job})
+			s.link.Pause(k.uid)
+		case gate.Serve:
+			k.answer(func(out []byte, load float64) []byte { return thrift.Served(out, k.seq, job.Result, load) })
+		case gate.PushBack:
+			k.answer(func(out []byte, load float64) []byte {
+				return thrift.PushedBack(out, k.seq, job.Last, job.After, load)
+			})
+		case gate.Abort:
+			k.answer(func(out []byte, load float64) []byte { return thrift.Aborted(out, k.seq, load) })
 		}
 	}
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -392,6 +392,27 @@
 	// served: <nil>
 }
 
+// Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
+func Example_memory() {
+	t := open(func(c *charter.Charter) { c.Memory = heldShare * 3 * callSize / 2 })
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	r.execute(2)
+	r.hear(1)
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	r.execute(3)
+	t.asked()
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 2 aborted
+	// router: 1 ok "one" good 1
+	// kernel: SCHED 3 look body 3
+	// served: <nil>
+}
+
 // A connection with nothing open is asked to end after the idle time, and closed if its router does not.
 func Example_idle() {
 	t := open(func(c *charter.Charter) { c.Rules.Machine.KeepAlive = 0.1 })
