--- a/server/server_test.go
+++ b/server/server_test.go
@@ -278,7 +278,7 @@
 	twice := t.dial()
 	twice.execute(8)
 	t.asked()
-	twice.execute(8)
+	twice.execute(8, "op", "sing")
 	twice.hear(1)
 	t.asked() // nobody waits for it any more
 	r.execute(9)
