Close an idle connection only if nothing is being taken in

Read of the code: a frame read between the look at a connection and its close opened an RPC on a closed connection, which loses it.

--- a/server/conn.go
+++ b/server/conn.go
@@ -51,7 +51,9 @@
 	open    map[int32]*call // read, no answer written
 	replies []reply
 	spare   []reply
+	reading bool      // a frame is being taken in
 	writing bool      // an answer is on its way out
+	shut    bool      // closed as idle: nothing more is taken in
 	used    time.Time // last frame either way
 	drained time.Time // when the router was asked to leave, zero before
 	wake    chan struct{}
@@ -85,7 +87,12 @@
 func (c *conn) idle() (since time.Time, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.used, len(c.open) == 0 && len(c.replies) == 0 && !c.writing
+	return c.rest()
+}
+
+// rest is called under the lock.
+func (c *conn) rest() (since time.Time, idle bool) {
+	return c.used, len(c.open) == 0 && len(c.replies) == 0 && !c.reading && !c.writing
 }
 
 // asked is for how long the router has known that it should close.
@@ -98,6 +105,17 @@
 	return time.Since(c.drained)
 }
 
+// shutIdle closes the connection unless something has just come. What is not taken in any more is sent again by
+// the router, on a new connection; what is taken in must be answered here.
+func (c *conn) shutIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, idle := c.rest(); idle {
+		c.shut = true
+		c.Close()
+	}
+}
+
 // drain asks the router to send nothing more here and to close. An RPC that crosses this is answered as any
 // other.
 func (c *conn) drain() {
@@ -157,9 +175,12 @@
 			continue
 		}
 		c.mu.Lock()
-		c.used = time.Now()
-		full := len(c.open)+len(c.replies) >= mostOpen
+		shut, full := c.shut, len(c.open)+len(c.replies) >= mostOpen
+		c.used, c.reading = time.Now(), true
 		c.mu.Unlock()
+		if shut {
+			return nil
+		}
 		if full {
 			return errors.New("more open RPCs than a connection may carry")
 		}
@@ -167,6 +188,9 @@
 			return err
 		}
 		in.Take(size)
+		c.mu.Lock()
+		c.reading = false
+		c.mu.Unlock()
 	}
 }
 
--- a/server/listen.go
+++ b/server/listen.go
@@ -93,7 +93,7 @@
 		switch {
 		case !idle:
 		case c.asked() > leaveTime:
-			c.Close()
+			c.shutIdle()
 		case after > 0 && time.Since(at) > seconds(after):
 			c.drain()
 		}
--- a/server/server.go
+++ b/server/server.go
@@ -250,7 +250,10 @@
 }
 
 // Booted is the kernel's first word.
-func (s *Server) Booted(ago float64, cold bool) { s.gate.Boot(clock()-ago, cold) }
+func (s *Server) Booted(ago float64, cold bool) {
+	s.log.Info("kernel up", zap.Float64("for_s", ago), zap.Bool("cold", cold))
+	s.gate.Boot(clock()-ago, cold)
+}
 
 // Ended is the kernel's word on a run.
 func (s *Server) Ended(r *run, took float64, result []byte, err error) {
