--- /dev/null
+++ b/gate/actions.go
@@ -0,0 +1,64 @@
+package gate
+
+// actions is the gate as the module sees it.
+type actions[T any] Gate[T]
+
+func (a *actions[T]) gate() *Gate[T] { return (*Gate[T])(a) }
+
+func (a *actions[T]) job(i int, do Do) {
+	s := &a.slots[i]
+	a.jobs = append(a.jobs, Job[T]{Do: do, RPC: ID{i, s.life}, For: s.who})
+}
+
+func (a *actions[T]) Start(i int) {
+	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
+		s.entry.state = started
+	}
+	a.job(i, Run)
+}
+
+func (a *actions[T]) Stop(i int)         { a.job(i, Pause) }
+func (a *actions[T]) Call(int, float64)  {} // the charter lets no method call
+func (a *actions[T]) Abort(i int)        { a.gate().answer(i, Job[T]{Do: Abort}) }
+func (a *actions[T]) Publish(v float64)  { a.credit = v }
+func (a *actions[T]) Wake(after float64) { a.wake = after }
+func (a *actions[T]) Release(i int)      { a.gate().move(i, free) }
+
+func (a *actions[T]) PushBack(i int, last bool, after float64) {
+	a.gate().answer(i, Job[T]{Do: PushBack, Last: last, After: after})
+}
+
+func (a *actions[T]) Remember(i int, span float64) {
+	s := &a.slots[i]
+	s.entry = a.tokens.remember(s.token, ID{i, s.life}, a.now+s.ahead+span)
+}
+
+func (a *actions[T]) Forget(i int) {
+	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
+		a.tokens.forget(s.entry)
+		s.entry = nil
+	}
+}
+
+func (a *actions[T]) Follow(i int) {
+	if e := a.slots[i].entry; e.state == kept || e.state == failed {
+		a.ended = append(a.ended, i)
+	} else {
+		e.followers = append(e.followers, i)
+	}
+}
+
+func (a *actions[T]) Health(good bool) {
+	a.healthy = good
+	signal(a.changed)
+}
+
+func (a *actions[T]) Reap(idle float64) {
+	a.reap = idle
+	signal(a.changed)
+}
+
+func (a *actions[T]) Log(text string) {
+	a.notes = append(a.notes, text)
+	signal(a.changed)
+}
--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -3,10 +3,8 @@
 package kernel
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -16,8 +14,7 @@
 	"time"
 
 	"go.uber.org/zap"
-
-	"valveglade/internal/inlet"
+	"golang.org/x/sync/errgroup"
 )
 
 // Reach is how far a run had come when it ended without a result.
@@ -166,7 +163,6 @@
 }
 
 const (
-	maxLine  = 64 << 10 // a result of 4 KiB in base64 many times over
 	firstTry = 5 * time.Millisecond
 	lastTry  = 250 * time.Millisecond // a connection on one machine costs little
 	silence  = 5 * time.Second        // gauges are asked for many times a second: the link is dead
@@ -207,25 +203,20 @@
 	if err != nil {
 		return err
 	}
-	ctx, end := context.WithCancel(ctx)
-	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	defer conn.Close()
 	l.mu.Lock()
 	open := fmt.Sprintf(`{"action":"OPEN","pos":%d}`+"\n", l.pos)
 	l.mu.Unlock()
-	if _, err := conn.Write([]byte(open)); err != nil {
-		end()
-		return err
-	}
-	written := make(chan struct{})
-	go func() {
-		defer close(written)
-		defer end()
-		l.write(ctx, conn)
-	}()
-	err = l.read(conn, up)
-	end()
-	<-written
+	sides, live := errgroup.WithContext(ctx)
+	defer context.AfterFunc(live, func() { conn.Close() })()
+	sides.Go(func() error {
+		if _, err := conn.Write([]byte(open)); err != nil {
+			return err
+		}
+		return l.write(live, conn)
+	})
+	sides.Go(func() error { return l.read(conn, up) })
+	err = sides.Wait()
+	conn.Close()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	// What may not have been read is sent again on the next connection, without the questions.
@@ -236,12 +227,12 @@
 }
 
 // write sends what has been decided, several commands at once where they are ready.
-func (l *Link[K]) write(ctx context.Context, conn net.Conn) {
+func (l *Link[K]) write(ctx context.Context, conn net.Conn) error {
 	var out []byte
 	for {
 		select {
 		case <-ctx.Done():
-			return
+			return ctx.Err()
 		case <-l.work:
 		}
 		l.mu.Lock()
@@ -260,119 +251,11 @@
 		}
 		conn.SetWriteDeadline(time.Now().Add(silence))
 		if _, err := conn.Write(out); err != nil {
-			return
+			return err
 		}
 	}
 }
 
-// read takes notices until the connection ends.
-func (l *Link[K]) read(conn net.Conn, up func()) error {
-	in := inlet.New(maxLine)
-	booted, first, blind, gaugeless := false, true, false, false
-	for {
-		b := in.Bytes()
-		end := bytes.IndexByte(b, '\n')
-		if end < 0 {
-			if err := in.Fill(conn); err != nil {
-				return err
-			}
-			continue
-		}
-		var m struct {
-			Action  string    `json:"action"`
-			Pos     int       `json:"pos"`
-			UID     string    `json:"uid"`
-			Code    string    `json:"code"`
-			Took    float64   `json:"wall_ms"`
-			Content []byte    `json:"content"`
-			Echo    string    `json:"echo"`
-			Meters  []float64 `json:"meters"`
-		}
-		err := json.Unmarshal(b[:end], &m)
-		in.Take(end + 1)
-		if booted {
-			conn.SetReadDeadline(time.Now().Add(silence))
-		}
-		if err != nil {
-			if !blind {
-				l.log.Warn("kernel line passed over", zap.Error(err))
-			}
-			blind = true // it may have been a notice: the next one's number tells nothing
-			continue
-		}
-		if m.Pos > 0 {
-			fresh, whole := l.follow(m.Pos, first || blind)
-			if !whole {
-				return errors.New("a notice is missing")
-			}
-			first, blind = false, false
-			if !fresh {
-				continue
-			}
-		}
-		switch m.Action {
-		case "BOOTED":
-			if booted {
-				continue
-			}
-			booted = true
-			l.owner.Booted(m.Took/1000, m.Code == "starting")
-			l.mu.Lock()
-			l.sync()
-			l.mu.Unlock()
-			up()
-		case "INFO":
-			l.inform(m.Echo, m.Meters)
-		case "REAP":
-			took := m.Took / 1000
-			switch m.Code {
-			case "fine":
-				l.ended(m.UID, took, m.Content, nil)
-			case "late":
-				l.ended(m.UID, took, nil, &Attempt{Reach: NeverRan, Why: m.Code})
-			case "broken_off":
-				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Stopped: true, Why: m.Code})
-			default:
-				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Why: m.Code})
-			}
-		case "EINVAL":
-			if m.Code != "SYSINFO" || !gaugeless {
-				l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
-			}
-			switch m.Code {
-			case "SCHED":
-				l.ended(m.UID, 0, nil, &Attempt{Reach: Sent, Why: "not carried out"})
-			case "SYSINFO": // a site without gauges: it marks the order of commands all the same
-				gaugeless = true
-				l.inform("", nil)
-			}
-		case "DMESG":
-		default:
-			if !blind {
-				l.log.Warn("kernel word not known", zap.String("action", m.Action))
-			}
-			blind = true
-		}
-	}
-}
-
-// follow counts a notice: fresh if it has not been read before, not whole if one before it has not come. What
-// is missing is asked for once, on a new connection; after that, or behind an unreadable line, it is lost.
-func (l *Link[K]) follow(pos int, lost bool) (fresh, whole bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case pos <= l.pos:
-		return false, true
-	case pos > l.pos+1 && !lost:
-		return false, false
-	case pos > l.pos+1:
-		l.log.Warn("notices lost", zap.Int("from", l.pos+1), zap.Int("to", pos-1))
-	}
-	l.pos = pos
-	return true, true
-}
-
 // sync puts a question before all commands that may have been lost: its answer comes after the notices up to
 // now, and what has ended by them is not sent again.
 func (l *Link[K]) sync() {
@@ -398,26 +281,3 @@
 	signal(l.informed)
 	signal(l.work)
 }
-
-func (l *Link[K]) ended(uid string, took float64, result []byte, err error) {
-	l.mu.Lock()
-	run, known := l.runs[uid]
-	if known {
-		delete(l.runs, uid)
-		at, sent := 0, len(l.unread)-l.unsent
-		l.unread = slices.DeleteFunc(l.unread, func(c command) bool {
-			at++
-			if c.uid != uid {
-				return false
-			}
-			if at > sent {
-				l.unsent--
-			}
-			return true
-		})
-	}
-	l.mu.Unlock()
-	if known {
-		l.owner.Ended(run, took, result, err)
-	}
-}
--- /dev/null
+++ b/internal/kernel/notices.go
@@ -0,0 +1,148 @@
+package kernel
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"valveglade/internal/inlet"
+)
+
+// maxLine holds a result of 4 KiB in base64 many times over.
+const maxLine = 64 << 10
+
+// read takes notices until the connection ends.
+func (l *Link[K]) read(conn net.Conn, up func()) error {
+	in := inlet.New(maxLine)
+	booted, first, blind, gaugeless := false, true, false, false
+	for {
+		b := in.Bytes()
+		end := bytes.IndexByte(b, '\n')
+		if end < 0 {
+			if err := in.Fill(conn); err != nil {
+				return err
+			}
+			continue
+		}
+		var m struct {
+			Action  string    `json:"action"`
+			Pos     int       `json:"pos"`
+			UID     string    `json:"uid"`
+			Code    string    `json:"code"`
+			Took    float64   `json:"wall_ms"`
+			Content []byte    `json:"content"`
+			Echo    string    `json:"echo"`
+			Meters  []float64 `json:"meters"`
+		}
+		err := json.Unmarshal(b[:end], &m)
+		in.Take(end + 1)
+		if booted {
+			conn.SetReadDeadline(time.Now().Add(silence))
+		}
+		if err != nil {
+			if !blind {
+				l.log.Warn("kernel line passed over", zap.Error(err))
+			}
+			blind = true // it may have been a notice: the next one's number tells nothing
+			continue
+		}
+		if m.Pos > 0 {
+			fresh, whole := l.follow(m.Pos, first || blind)
+			if !whole {
+				return errors.New("a notice is missing")
+			}
+			first, blind = false, false
+			if !fresh {
+				continue
+			}
+		}
+		switch m.Action {
+		case "BOOTED":
+			if booted {
+				continue
+			}
+			booted = true
+			l.owner.Booted(m.Took/1000, m.Code == "starting")
+			l.mu.Lock()
+			l.sync()
+			l.mu.Unlock()
+			up()
+		case "INFO":
+			l.inform(m.Echo, m.Meters)
+		case "REAP":
+			took := m.Took / 1000
+			switch m.Code {
+			case "fine":
+				l.ended(m.UID, took, m.Content, nil)
+			case "late":
+				l.ended(m.UID, took, nil, &Attempt{Reach: NeverRan, Why: m.Code})
+			case "broken_off":
+				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Stopped: true, Why: m.Code})
+			default:
+				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Why: m.Code})
+			}
+		case "EINVAL":
+			if m.Code != "SYSINFO" || !gaugeless {
+				l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
+			}
+			switch m.Code {
+			case "SCHED":
+				l.ended(m.UID, 0, nil, &Attempt{Reach: Sent, Why: "not carried out"})
+			case "SYSINFO": // a site without gauges: it marks the order of commands all the same
+				gaugeless = true
+				l.inform("", nil)
+			}
+		case "DMESG":
+		default:
+			if !blind {
+				l.log.Warn("kernel word not known", zap.String("action", m.Action))
+			}
+			blind = true
+		}
+	}
+}
+
+// follow counts a notice: fresh if it has not been read before, not whole if one before it has not come. What
+// is missing is asked for once, on a new connection; after that, or behind an unreadable line, it is lost.
+func (l *Link[K]) follow(pos int, lost bool) (fresh, whole bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case pos <= l.pos:
+		return false, true
+	case pos > l.pos+1 && !lost:
+		return false, false
+	case pos > l.pos+1:
+		l.log.Warn("notices lost", zap.Int("from", l.pos+1), zap.Int("to", pos-1))
+	}
+	l.pos = pos
+	return true, true
+}
+
+func (l *Link[K]) ended(uid string, took float64, result []byte, err error) {
+	l.mu.Lock()
+	run, known := l.runs[uid]
+	if known {
+		delete(l.runs, uid)
+		at, sent := 0, len(l.unread)-l.unsent
+		l.unread = slices.DeleteFunc(l.unread, func(c command) bool {
+			at++
+			if c.uid != uid {
+				return false
+			}
+			if at > sent {
+				l.unsent--
+			}
+			return true
+		})
+	}
+	l.mu.Unlock()
+	if known {
+		l.owner.Ended(run, took, result, err)
+	}
+}
