--- a/server/server_test.go
+++ b/server/server_test.go
@@ -413,6 +413,30 @@
 	// served: <nil>
 }
 
+// A router that sends and never reads holds up nobody else, and its connection ends before it takes much.
+func Example_flood() {
+	t := open(nil)
+	flood, r := t.dial(), t.dial()
+	for seq := 1; ; seq++ {
+		if _, err := flood.Write([]byte(str("\x80\x01\x00\x01" + str("check") + "\x00\x00\x00\x01\x00"))); err != nil {
+			fmt.Println("cut off:", seq > mostOpen && seq < 1e6)
+			break
+		}
+		if seq == 1000 {
+			r.execute(1)
+			t.asked()
+			t.reap(1, "fine", "one")
+			r.hear(1)
+		}
+	}
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// cut off: true
+	// served: <nil>
+}
+
 // A connection with nothing open is asked to end after the idle time, and closed if its router does not.
 func Example_idle() {
 	t := open(func(c *charter.Charter) { c.Rules.Machine.KeepAlive = 0.1 })
