--- a/server/conn.go
+++ b/server/conn.go
@@ -105,8 +105,8 @@
 	return time.Since(c.drained)
 }
 
-// shutIdle closes the connection unless something has just come. What is not taken in any more is sent again by
-// the router, on a new connection; what is taken in must be answered here.
+// shutIdle closes the connection unless something has just come. What is not taken in any more the router sends
+// again, on a new connection; what is taken in must be answered here.
 func (c *conn) shutIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -235,8 +235,8 @@
 // offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
 const offClock = 3600.0
 
-// twice ends a connection that gives the number of an open RPC to another: to answer either would be to answer
-// both.
+// twice ends a connection that gives the number of an open RPC to another: to answer either would be to
+// answer both.
 func (c *conn) twice(seq int32) bool {
 	c.mu.Lock()
 	_, open := c.open[seq]
--- a/server/listen.go
+++ b/server/listen.go
@@ -21,8 +21,8 @@
 	socketBuffer = 64 << 10
 )
 
-// accept takes connections up to what the descriptors allow. Past that those idle longest go, and the one that
-// has come waits for its turn.
+// accept takes connections up to what the descriptors allow. Past that those idle longest go, and the one
+// that has come waits for its turn.
 func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
 	for {
 		nc, err := listener.AcceptTCP()
@@ -55,7 +55,8 @@
 	}
 }
 
-// crowded tells whether there is room for no other connection, and then asks some of those idle longest to go.
+// crowded tells whether there is room for no other connection, and then asks some of those idle longest to
+// go.
 func (s *Server) crowded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -44,8 +44,9 @@
 	*call
 }
 
-// These parts of the memory are for kept results and for RPCs whose answer is owed. The collector lets garbage
-// grow to as much again; the rest is for buffers and stacks, a quarter on the largest number of connections.
+// These parts of the memory are for kept results and for RPCs whose answer is owed. The collector lets
+// garbage grow to as much again; the rest is for buffers and stacks, a quarter on the largest number of
+// connections.
 const keepShare, heldShare = 8, 4
 
 // New prepares an app server; nothing is opened before Serve.
@@ -65,7 +66,8 @@
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Serve listens where the charter says and runs until ctx ends, which is the notice to leave, and then until
-// all that was read is answered and the connections are closed, at the latest shortly before the charter's stop.
+// all that was read is answered and the connections are closed, at the latest shortly before the charter's
+// stop.
 func (s *Server) Serve(ctx context.Context) error {
 	listener, err := net.Listen("tcp", s.charter.Listen.String())
 	if err != nil {
@@ -77,7 +79,8 @@
 	return s.ServeOn(ctx, listener.(*net.TCPListener))
 }
 
-// ServeOn is Serve on a listener of the embedder's, which it closes; the process's memory limit is left alone.
+// ServeOn is Serve on a listener of the embedder's, which it closes; the process's memory limit is left
+// alone.
 func (s *Server) ServeOn(ctx context.Context, listener *net.TCPListener) error {
 	live, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
