Drop forgotten tokens from the line in which they leave

Read of the code: tokened RPCs that are all refused, behind one that is remembered, kept their tokens for a whole window (table.oldest): at thousands a second that is tens of megabytes.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -181,6 +181,20 @@
 	//  0.00 b2: ok "12345"
 }
 
+// Tokens of refused RPCs leave no trace behind one that is remembered.
+func Example_refused() {
+	s := open(1, 1000)
+	s.arrive("a", write, "a")
+	for k := range 1000 {
+		s.ids["b"] = s.Arrive(s.now, write, 0, s.now, s.now+4, 20, fmt.Sprint(k), "b")
+		s.Gone(s.now, s.ids["b"])
+	}
+	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest) < 100, len(s.slots))
+	// Output:
+	//  0.00 a: run
+	// 1 true 2
+}
+
 // The window counts from recv: a repeat that came to the machine in time is known however late it is read, and
 // one of a try whose recv lies ahead of the clock for as much longer.
 func Example_window() {
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -62,6 +62,11 @@
 		t.drop(old)
 	}
 	t.entries[token] = e
+	// Guards against callers whose tokened RPCs are all refused: what was forgotten would stay in line behind the
+	// first that is not, for a whole window.
+	if len(t.oldest) > 64+2*len(t.entries) {
+		t.oldest = slices.DeleteFunc(t.oldest, func(e *entry) bool { return t.entries[e.token] != e })
+	}
 	t.oldest = append(t.oldest, e)
 	return e
 }
