--- a/server/server_test.go
+++ b/server/server_test.go
@@ -25,6 +25,7 @@
 // town is one app server between stand-ins for its kernel, its roster and its routers.
 type town struct {
 	at      string
+	cores   net.Listener // where the kernel is
 	kernel  net.Conn
 	runs    chan string // what the kernel was asked, gauges aside
 	reports chan string // what the roster heard, when it changes
@@ -37,11 +38,11 @@
 func open(change func(c *charter.Charter)) *town {
 	t := &town{runs: make(chan string, 100), reports: make(chan string, 100), served: make(chan error, 1),
 		before: runtime.NumGoroutine()}
-	kernel := must(net.Listen("tcp", "127.0.0.1:0"))
+	t.cores = must(net.Listen("tcp", "127.0.0.1:0"))
 	roster := must(net.ListenPacket("udp", "127.0.0.1:0"))
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	t.at = listener.Addr().String()
-	c := &charter.Charter{Name: "n1", Kernel: netip.MustParseAddrPort(kernel.Addr().String()), Stop: 1.2,
+	c := &charter.Charter{Name: "n1", Kernel: netip.MustParseAddrPort(t.cores.Addr().String()), Stop: 1.2,
 		Roster: netip.MustParseAddrPort(roster.LocalAddr().String()), Memory: 64 << 20, Sockets: 64,
 		Methods: []string{"look", "record"}}
 	c.Rules.Methods = []rpc.Method{{Kind: rpc.Idempotent, Target: 30, Deadline: 60, Criticality: 1},
@@ -68,18 +69,22 @@
 	ctx, notice := context.WithCancel(context.Background())
 	t.notice = func() {
 		notice()
-		kernel.Close()
+		t.cores.Close()
 	}
 	go func() {
 		t.served <- New(c, zap.NewNop()).ServeOn(ctx, listener.(*net.TCPListener))
-		t.kernel.Close()
 		roster.Close()
 	}()
-	t.kernel = must(kernel.Accept())
-	go t.work(bufio.NewReader(t.kernel))
+	t.link()
 	return t
 }
 
+// link takes the server's link to the kernel, in place of the one before.
+func (t *town) link() {
+	t.kernel = must(t.cores.Accept())
+	go t.work(t.kernel)
+}
+
 func must[T any](v T, err error) T {
 	if err != nil {
 		panic(err)
@@ -88,8 +93,9 @@
 }
 
 // work is the kernel: it answers what asks for gauges, and leaves runs to the test.
-func (t *town) work(lines *bufio.Reader) {
-	for {
+func (t *town) work(link net.Conn) {
+	defer link.Close()
+	for lines := bufio.NewReader(link); ; {
 		line, err := lines.ReadString('\n')
 		if err != nil {
 			return
@@ -101,9 +107,9 @@
 		json.Unmarshal([]byte(line), &m)
 		switch m.Action {
 		case "OPEN":
-			fmt.Fprintln(t.kernel, `{"action":"BOOTED","code":"running","wall_ms":10}`)
+			fmt.Fprintln(link, `{"action":"BOOTED","code":"running","wall_ms":10}`)
 		case "SYSINFO":
-			fmt.Fprintf(t.kernel, `{"action":"INFO","echo":"%s","meters":[]}`+"\n", m.Echo)
+			fmt.Fprintf(link, `{"action":"INFO","echo":"%s","meters":[]}`+"\n", m.Echo)
 		default:
 			t.runs <- strings.TrimSpace(fmt.Sprintf("%s %c %s %s", m.Action, m.UID[15], m.Lane, m.Content))
 		}
@@ -255,6 +261,29 @@
 	// roster: HERE n1 off
 }
 
+// The link breaks and comes back: notices go on counting, and so do runs.
+func Example_link() {
+	t := open(nil)
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	t.kernel.Close()
+	t.link()
+	r.execute(2)
+	t.asked()
+	t.reap(2, "fine", "two")
+	r.hear(1)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "two" good 1
+	// served: <nil>
+}
+
 // What cannot be run is answered and the connection goes on; what cannot be read ends the connection, and no
 // other.
 func Example_bad() {
