--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -19,7 +19,7 @@
 // read takes notices until the connection ends.
 func (l *Link[K]) read(conn net.Conn, up func()) error {
 	in := inlet.New(maxLine)
-	booted, first, blind, gaugeless := false, true, false, false
+	booted, first, blind, gaugeless, strange := false, true, false, false, false
 	for {
 		b := in.Bytes()
 		end := bytes.IndexByte(b, '\n')
@@ -75,16 +75,22 @@
 		case "INFO":
 			l.inform(m.Echo, m.Meters)
 		case "REAP":
-			took := m.Took / 1000
+			var end error
 			switch m.Code {
 			case "fine":
-				l.ended(m.UID, took, m.Content, nil)
 			case "late":
-				l.ended(m.UID, took, nil, &Attempt{Reach: NeverRan, Why: m.Code})
+				end = &Attempt{Reach: NeverRan, Why: m.Code}
 			case "broken_off":
-				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Stopped: true, Why: m.Code})
+				end = &Attempt{Reach: Ran, Stopped: true, Why: m.Code}
 			default:
-				l.ended(m.UID, took, nil, &Attempt{Reach: Ran, Why: m.Code})
+				end = &Attempt{Reach: Ran, Why: m.Code}
+			}
+			if end != nil {
+				m.Content = nil // a run that failed has no result
+			}
+			if !l.ended(m.UID, m.Took/1000, m.Content, end) && !strange {
+				strange = true
+				l.log.Warn("end of a run not in hand", zap.String("run", m.UID))
 			}
 		case "EINVAL":
 			if m.Code != "SYSINFO" || !gaugeless {
@@ -124,7 +130,7 @@
 	return true, true
 }
 
-func (l *Link[K]) ended(uid string, took float64, result []byte, err error) {
+func (l *Link[K]) ended(uid string, took float64, result []byte, err error) (known bool) {
 	l.mu.Lock()
 	run, known := l.runs[uid]
 	if known {
@@ -145,4 +151,5 @@
 	if known {
 		l.owner.Ended(run, took, result, err)
 	}
+	return known
 }
