--- a/gate/actions.go
+++ b/gate/actions.go
@@ -30,18 +30,18 @@
 
 func (a *actions[T]) Remember(i int, span float64) {
 	s := &a.slots[i]
-	s.entry = a.tokens.remember(s.token, ID{i, s.life}, a.now+s.ahead+span)
+	s.entry = a.tokens.remember(s.token, s.body, ID{i, s.life}, a.now+s.ahead+span)
 }
 
 func (a *actions[T]) Forget(i int) {
 	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
-		a.tokens.forget(s.entry)
+		a.ended = append(a.ended, a.tokens.forget(s.entry)...)
 		s.entry = nil
 	}
 }
 
 func (a *actions[T]) Follow(i int) {
-	if e := a.slots[i].entry; e.state == kept || e.state == failed {
+	if e := a.slots[i].entry; e.proven() {
 		a.ended = append(a.ended, i)
 	} else {
 		e.followers = append(e.followers, i)
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"sync"
 
 	"valveglade/logic"
@@ -51,7 +52,9 @@
 	state state
 	life  uint32
 	who   T
+	uid   string // its name outside, given to one RPC in hand at a time
 	token string
+	body  uint64  // digest of its method and body
 	ahead float64 // by how much recv lies ahead of the clock
 	entry *entry  // under which the module knows its token
 }
@@ -64,6 +67,8 @@
 	now     float64
 	slots   []slot[T]
 	spare   []int
+	uids    map[string]struct{}
+	seed    maphash.Seed
 	callers map[int]int
 	tokens  table
 	ended   []int // followers whose outcome is there, to be told to the module
@@ -82,7 +87,7 @@
 
 // New starts a gate; keep bounds the bytes of kept results.
 func New[T any](now float64, c rpc.Charter, keep int) *Gate[T] {
-	g := &Gate[T]{charter: c, now: now, callers: map[int]int{}, tokens: newTable(keep), credit: -1,
+	g := &Gate[T]{charter: c, now: now, callers: map[int]int{}, uids: map[string]struct{}{}, seed: maphash.MakeSeed(), tokens: newTable(keep), credit: -1,
 		reap: c.Machine.KeepAlive, ready: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
 	g.module = logic.New(now, c, (*actions[T])(g))
 	return g
@@ -105,11 +110,25 @@
 }
 
 // Arrive takes in an RPC that has been read: recv is when it came to the machine, due when its caller gives
-// up.
-func (g *Gate[T]) Arrive(now float64, method, src int, recv, due, kb float64, token string, who T) ID {
+// up. It is not taken, and the module does not hear of it, if its uid is in hand or its token is known to
+// belong to another body.
+func (g *Gate[T]) Arrive(now float64, method, src int, recv, due, kb float64, uid, token string, body []byte,
+	who T) (id ID, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now = g.clock(now)
+	if _, taken := g.uids[uid]; taken {
+		return ID{}, false
+	}
+	var e *entry
+	digest := uint64(0)
+	if token != "" {
+		digest = maphash.Bytes(g.seed, body) + uint64(method)
+		if e = g.tokens.find(token, recv); e != nil && e.body != digest && e.proven() {
+			return ID{}, false
+		}
+	}
+	g.uids[uid] = struct{}{}
 	from, ok := g.callers[src]
 	if !ok {
 		from = min(len(g.callers), maxCallers)
@@ -124,22 +143,21 @@
 	i := g.spare[len(g.spare)-1]
 	g.spare = g.spare[:len(g.spare)-1]
 	s := &g.slots[i]
-	*s = slot[T]{life: s.life + 1, who: who, token: token, ahead: max(recv-now, 0)}
+	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, ahead: max(recv-now, 0)}
 	g.move(i, owed)
-	id := ID{i, s.life}
+	id = ID{i, s.life}
 	repeats := rpc.None
-	if token != "" {
-		if e := g.tokens.find(token, recv); e != nil {
-			s.entry = e
-			repeats = rpc.Gone
-			if g.holds(e.runner) {
-				repeats = e.runner.i
-			}
+	if e != nil {
+		s.entry = e
+		// With another body one of the two is none of a usual router's, and the kernel will tell which: until then
+		// the later one follows, and takes no held one's place.
+		if repeats = rpc.Gone; e.body == digest && g.holds(e.runner) {
+			repeats = e.runner.i
 		}
 	}
 	g.module.Arrive(now, i, method, from, max(now-recv, 0), false, due, kb, repeats)
 	g.settle()
-	return id
+	return id, true
 }
 
 // holds tells whether the module still has the RPC.
@@ -168,6 +186,9 @@
 	g.clock(now)
 	if e := g.slots[id.i].entry; e != nil && e.runner == id {
 		g.ended = append(g.ended, g.tokens.finish(e, how, result)...)
+		if how.NeverRan() {
+			g.slots[id.i].entry = nil
+		}
 	}
 	g.end(id.i, how, took, result)
 	g.settle()
@@ -189,12 +210,19 @@
 	for len(g.ended) > 0 {
 		i := g.ended[0]
 		g.ended = g.ended[1:]
-		if e := g.slots[i].entry; g.slots[i].state != free && e != nil {
-			if e.state == kept {
-				g.end(i, rpc.OK, 0, e.result)
+		s := &g.slots[i]
+		switch e := s.entry; {
+		case s.state == free || e == nil:
+		case e.state == kept && e.body == s.body:
+			g.end(i, rpc.OK, 0, e.result)
+		case e.state == forgotten: // it never ran: the next may
+			if s.entry = g.tokens.entries[s.token]; s.entry != nil {
+				(*actions[T])(g).Follow(i)
 			} else {
-				g.end(i, rpc.Error, 0, nil)
+				g.end(i, rpc.Moot, 0, nil)
 			}
+		default:
+			g.end(i, rpc.Error, 0, nil)
 		}
 	}
 	if len(g.jobs) > 0 {
@@ -302,6 +330,7 @@
 		if s.entry != nil {
 			s.entry.unfollow(i)
 		}
+		delete(g.uids, s.uid)
 		*s = slot[T]{life: s.life}
 		g.spare = append(g.spare, i)
 	}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -33,7 +33,14 @@
 }
 
 func (s *street) arrive(name string, method int, token string) {
-	s.ids[name] = s.Arrive(s.now, method, 0, s.now, s.now+4, 20, token, name)
+	s.came(name, method, s.now, token, "body")
+}
+
+func (s *street) came(name string, method int, recv float64, token, body string) {
+	var ok bool
+	if s.ids[name], ok = s.Arrive(s.now, method, 0, recv, s.now+4, 20, name, token, []byte(body), name); !ok {
+		fmt.Printf("%5.2f %s: not taken\n", s.now-100, name)
+	}
 	s.say()
 }
 
@@ -186,7 +193,7 @@
 	s := open(1, 1000)
 	s.arrive("a", write, "a")
 	for k := range 1000 {
-		s.ids["b"] = s.Arrive(s.now, write, 0, s.now, s.now+4, 20, fmt.Sprint(k), "b")
+		s.ids["b"], _ = s.Arrive(s.now, write, 0, s.now, s.now+4, 20, "b", fmt.Sprint(k), nil, "b")
 		s.Gone(s.now, s.ids["b"])
 	}
 	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest) < 100, len(s.slots))
@@ -201,11 +208,9 @@
 	s := open(2, 1000)
 	s.arrive("a1", write, "t")
 	s.report("a1", rpc.OK, "done")
-	s.ids["b1"] = s.Arrive(s.now, write, 0, s.now+3, s.now+4, 20, "u", "b1")
-	s.say()
+	s.came("b1", write, s.now+3, "u", "body")
 	s.pass(12)
-	s.Arrive(s.now, write, 0, s.now-2.5, s.now+4, 20, "t", "a2")
-	s.say()
+	s.came("a2", write, s.now-2.5, "t", "body")
 	s.arrive("b2", write, "u")
 	s.report("b1", rpc.OK, "too")
 	// Output:
@@ -217,6 +222,61 @@
 	// 12.00 b2: ok "too"
 }
 
+// A token with another body: once the kernel has proved one body genuine, the other is not taken, and never gets
+// the kept result. Before that the later waits, and runs only if the kernel knew nothing of the earlier; so the
+// genuine RPC and its repeats are served whichever came first. Guards against clients that send what they saw.
+func Example_bodies() {
+	s := open(1, 1000)
+	s.came("a1", write, s.now, "t", "body")
+	s.came("bad1", write, s.now, "t", "other")
+	s.report("a1", rpc.OK, "done")
+	s.came("bad2", write, s.now, "t", "other")
+	s.came("a2", write, s.now, "t", "body")
+	s.came("bad3", write, s.now, "u", "other")
+	s.came("b1", write, s.now, "u", "body")
+	s.came("b2", write, s.now, "u", "body")
+	s.report("bad3", rpc.Moot, "")
+	s.report("b1", rpc.OK, "too")
+	s.arrive("busy", read, "")
+	s.came("bad4", write, s.now, "v", "other") // held
+	s.came("c1", write, s.now, "v", "body")
+	s.gone("bad4")
+	s.report("busy", rpc.OK, "")
+	s.report("c1", rpc.OK, "three")
+	fmt.Println(len(s.uids), len(s.tokens.entries))
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 bad1: aborted
+	//  0.00 bad2: not taken
+	//  0.00 a2: ok "done"
+	//  0.00 bad3: run
+	//  0.00 bad3: aborted
+	//  0.00 b1: run
+	//  0.00 b1: ok "too"
+	//  0.00 b2: ok "too"
+	//  0.00 busy: run
+	//  0.00 busy: ok ""
+	//  0.00 c1: run
+	//  0.00 c1: ok "three"
+	// 0 3
+}
+
+// An RPC under the name of one in hand is not taken; once that is over the name is free.
+func Example_names() {
+	s := open(1, 1000)
+	s.arrive("a", read, "")
+	s.arrive("a", read, "")
+	s.ids["a"] = ID{0, 1}
+	s.report("a", rpc.OK, "1")
+	s.arrive("a", read, "")
+	// Output:
+	//  0.00 a: run
+	//  0.00 a: not taken
+	//  0.00 a: ok "1"
+	//  0.00 a: run
+}
+
 // Leaving: all is answered before the stop, also a repeat whose outcome has not come.
 func Example_leave() {
 	s := open(1, 1000)
@@ -258,7 +318,7 @@
 		job, _ := s.Pick(context.Background())
 		picked <- job
 	}()
-	s.Arrive(s.now, read, 0, s.now, s.now+4, 20, "", "a")
+	s.Arrive(s.now, read, 0, s.now, s.now+4, 20, "a", "", nil, "a")
 	fmt.Println((<-picked).For)
 	// Output: a
 }
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -12,20 +12,25 @@
 const (
 	waiting standing = iota // held, nothing has run
 	started
-	kept   // it ran, and its result may be kept
-	failed // it may have run, and has no result
+	kept      // it ran, and its result may be kept
+	failed    // it may have run, and has no result
+	forgotten // it never ran, or its window has passed
 )
 
 // entry is one remembered token.
 type entry struct {
 	token     string
-	runner    ID // the try that runs or ran, or is held
+	body      uint64 // digest of what all its tries carry
+	runner    ID     // the try that runs or ran, or is held
 	end       float64
 	state     standing
 	result    []byte
 	followers []int
 }
 
+// proven tells whether the kernel has taken the runner for genuine.
+func (e *entry) proven() bool { return e.state == kept || e.state == failed }
+
 func (e *entry) unfollow(i int) {
 	if k := slices.Index(e.followers, i); k >= 0 {
 		e.followers = slices.Delete(e.followers, k, k+1)
@@ -56,9 +61,14 @@
 }
 
 // remember keeps a token, or hands its entry over to a further try.
-func (t *table) remember(token string, runner ID, end float64) *entry {
-	e := &entry{token: token, runner: runner, end: end}
-	if old := t.entries[token]; old != nil {
+func (t *table) remember(token string, body uint64, runner ID, end float64) *entry {
+	old := t.entries[token]
+	if old != nil && old.state == waiting {
+		old.body, old.runner, old.end = body, runner, end // those that follow it go on doing so
+		return old
+	}
+	e := &entry{token: token, body: body, runner: runner, end: end}
+	if old != nil {
 		t.drop(old)
 	}
 	t.entries[token] = e
@@ -71,11 +81,16 @@
 	return e
 }
 
-func (t *table) forget(e *entry) {
+// forget gives those that waited for what has never run.
+func (t *table) forget(e *entry) []int {
 	if t.entries[e.token] == e {
 		delete(t.entries, e.token)
 	}
 	t.drop(e)
+	e.state = forgotten
+	followers := e.followers
+	e.followers = nil
+	return followers
 }
 
 func (t *table) drop(e *entry) {
@@ -94,7 +109,7 @@
 		t.results = append(t.results, e)
 		t.trim()
 	case how.NeverRan():
-		t.forget(e) // so a further try may run
+		return t.forget(e) // so a further try may run
 	}
 	followers := e.followers
 	e.followers = nil
--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -31,6 +31,7 @@
 type Attempt struct {
 	Reach   Reach
 	Stopped bool // off the cores by our command, or because its answer had been given
+	Unknown bool // the kernel knows no such RPC
 	Why     string
 }
 
--- a/internal/kernel/link_test.go
+++ b/internal/kernel/link_test.go
@@ -130,7 +130,7 @@
 	// < {"action":"SCHED","uid":"e","lane":"look","content":""} <nil>
 	// Rd ended after 0.02: "", run broken_off (started)
 	// Re ended after 0.02: "", run late (never started)
-	// A ended after 0: "", run not carried out (sent)
+	// A ended after 0: "", run not carried out (never started)
 	// ended: <nil>
 }
 
--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -98,7 +98,8 @@
 			}
 			switch m.Code {
 			case "SCHED":
-				l.ended(m.UID, 0, nil, &Attempt{Reach: Sent, Why: "not carried out"})
+				// It knows no RPC of this id, lane and body: a repeat may be a genuine one.
+				l.ended(m.UID, 0, nil, &Attempt{Reach: NeverRan, Unknown: true, Why: "not carried out"})
 			case "SYSINFO": // a site without gauges: it marks the order of commands all the same
 				gaugeless = true
 				l.inform("", nil)
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -112,7 +112,7 @@
 }
 
 func (r *reader) execute(seq int32, to Router) error {
-	var op, call, src, recv, ttl, heap, dedupe, body []byte
+	var op, call, src, recv, ttl, heap, crit, dedupe, body []byte
 	err := r.fields(func(id int16, kind byte) bool {
 		switch {
 		case id == 2 && kind == typeString:
@@ -141,6 +141,8 @@
 				ttl = value
 			case "heap":
 				heap = value
+			case "crit":
+				crit = value
 			case "dedupe":
 				dedupe = value
 			}
@@ -154,6 +156,7 @@
 	came, okRecv := number(recv)
 	left, okTTL := number(ttl)
 	size, okHeap := number(heap)
+	rank, okCrit := number(crit) // nothing here goes by it, but a figure out of range is no usual router's
 	switch {
 	case len(op) == 0:
 		to.Unreadable(seq, "op")
@@ -167,6 +170,8 @@
 		to.Unreadable(seq, "ttl")
 	case !okHeap || size <= 0 || size >= 2000:
 		to.Unreadable(seq, "heap")
+	case crit != nil && (!okCrit || rank < 0 || rank >= 1):
+		to.Unreadable(seq, "crit")
 	case len(dedupe) > 128:
 		to.Unreadable(seq, "dedupe")
 	case len(body) > MaxBody:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -40,7 +40,7 @@
 	arrival, asked        float64 // here, and its first try, as far as can be told
 	due, kb               float64
 	began, dialed         float64 // when it was started, and its call placed
-	extra                 bool    // its call is past the whole part of the share
+	extra, told           bool    // its call is past the whole part of the share; its caller told its due
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
@@ -129,10 +129,9 @@
 		}
 		tightest = min(tightest, method.Target)
 	}
-	m.dt = tightest / 6 // a quarter made the incidents worse, an eighth the overload days
-	m.mark = 2 * m.dt   // the design's default
-	m.limit = m.cores() // the design's default
-	m.said = math.NaN() // nothing yet
+	m.dt = tightest / 6                     // a quarter made the incidents worse, an eighth the overload days
+	m.mark = 2 * m.dt                       // the design's default
+	m.limit, m.said = m.cores(), math.NaN() // the design's default; nothing yet
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1)) * m.warmth()
 	for range 16 {
 		m.gaps.add(3) // till more is known: all callers are new at first, so that few look like many
@@ -158,12 +157,9 @@
 func (m *Module) Arrive(now float64, i, method, from int, lay float64, further bool, due, kb float64,
 	repeats int) {
 	m.now = now
-	for len(m.rpcs) <= i {
-		m.rpcs = append(m.rpcs, work{})
-	}
-	for len(m.callers) <= from {
-		m.callers = append(m.callers, caller{heard: math.Inf(-1), idle: math.Inf(-1)})
-	}
+	m.rpcs = append(m.rpcs, make([]work, max(i+1-len(m.rpcs), 0))...)
+	never := caller{heard: math.Inf(-1), idle: math.Inf(-1)}
+	m.callers = append(m.callers, slices.Repeat([]caller{never}, max(from+1-len(m.callers), 0))...)
 	if method >= len(m.Methods) { // nothing is known of it, so nothing may be run
 		m.do.Abort(i)
 		m.do.Release(i)
@@ -175,7 +171,7 @@
 		w.asked -= m.walked
 		m.further++
 	}
-	if due <= 0 {
+	if w.told = due > 0; !w.told {
 		w.due = w.arrival + m.Methods[method].Deadline
 	}
 	if m.leaving {
@@ -472,6 +468,15 @@
 	if w.state == absent || w.state == held {
 		return
 	}
+	if how.NeverRan() {
+		m.forget(i)
+		if w.state == following { // what it repeats never ran, so it may itself
+			m.remember(i)
+			m.move(i, held)
+			m.pump()
+			return
+		}
+	}
 	if w.state == calling {
 		m.called(w, true)
 	}
@@ -497,8 +502,9 @@
 // CallerGone takes note that nobody awaits an RPC any more.
 func (m *Module) CallerGone(now float64, i int) {
 	m.now = now
-	if w := &m.rpcs[i]; w.state.owed() {
-		// Within a fifth it is the same habit; another age starts the count afresh.
+	if w := &m.rpcs[i]; w.state.owed() && !w.told {
+		// Within a fifth it is the same habit; another age starts the count afresh. Who says how long it waits has
+		// no other patience: one that takes back hundreds at once would have all others' RPCs turned away.
 		r, age := &m.records[w.method], now-w.arrival
 		if math.Abs(age-r.patience) > 0.2*r.patience {
 			r.patience, r.givenUp = age, 0
@@ -772,11 +778,9 @@
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
 		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
-		switch {
-		case !w.state.owed():
-		case m.now > w.due-margin, w.state == held && m.hopeless(w),
-			lost && (w.state == stalled || w.state == calling),
-			lost && w.state == running && len(m.hold) > 0 && m.Machine.Preemption != rpc.Unstoppable:
+		if w.state.owed() && (m.now > w.due-margin || w.state == held && m.hopeless(w) ||
+			lost && (w.state == stalled || w.state == calling || w.state == running &&
+				len(m.hold) > 0 && m.Machine.Preemption != rpc.Unstoppable)) {
 			m.giveUp(i)
 		}
 	}
--- a/server/conn.go
+++ b/server/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -54,17 +55,21 @@
 	reading bool      // a frame is being taken in
 	writing bool      // an answer is on its way out
 	shut    bool      // closed as idle: nothing more is taken in
+	known   bool      // a whole message has come
 	used    time.Time // last frame either way
 	drained time.Time // when the router was asked to leave, zero before
 	wake    chan struct{}
-	odd     bool // something unreadable came, and has been logged
+	last    int32        // number of the last RPC; the reader's own
+	odd     atomic.Int32 // RPCs that could not be run
 }
 
 const (
-	mostOpen  = 128              // RPCs open or with an unwritten answer: 32, and interrupted ones
-	stuck     = 10 * time.Second // a router that does not read for so long has lost its answers
-	writeSize = 16 << 10         // answers gathered for one write
-	callSize  = 1 << 10          // what an RPC takes beside its body, about
+	mostOpen  = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
+	mostOdd   = 8                       // RPCs that cannot be run, before whoever sends them has to connect again
+	stuck     = 10 * time.Second        // a router that does not read for so long has lost its answers
+	whole     = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
+	writeSize = 16 << 10                // answers gathered for one write
+	callSize  = 1 << 10                 // what an RPC takes beside its body, about
 )
 
 // serve reads and writes until the connection ends.
@@ -84,15 +89,16 @@
 	})
 }
 
-func (c *conn) idle() (since time.Time, idle bool) {
+// rested tells since when the connection has been idle, if it is, and whether a whole message ever came.
+func (c *conn) rested() (since time.Time, idle, known bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.rest()
+	return c.used, c.rests(), c.known
 }
 
-// rest is called under the lock.
-func (c *conn) rest() (since time.Time, idle bool) {
-	return c.used, len(c.open) == 0 && len(c.replies) == 0 && !c.reading && !c.writing
+// rests is called under the lock.
+func (c *conn) rests() bool {
+	return len(c.open) == 0 && len(c.replies) == 0 && !c.reading && !c.writing
 }
 
 // asked is for how long the router has known that it should close.
@@ -107,13 +113,14 @@
 
 // shutIdle closes the connection unless something has just come. What is not taken in any more the router sends
 // again, on a new connection; what is taken in must be answered here.
-func (c *conn) shutIdle() {
+func (c *conn) shutIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, idle := c.rest(); idle {
+	if c.rests() {
 		c.shut = true
 		c.Close()
 	}
+	return c.shut
 }
 
 // drain asks the router to send nothing more here and to close. An RPC that crosses this is answered as any
@@ -133,7 +140,7 @@
 // contain runs one side of the connection; its error or a panic ends the connection, and nothing else.
 func (c *conn) contain(side func() error) {
 	if err := c.stopPanic(side); err != nil {
-		c.log.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
+		c.door.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
 		c.Close()
 	}
 }
@@ -148,6 +155,7 @@
 		c.held.Add(-k.size())
 		c.gate.Gone(clock(), k.id)
 	}
+	c.Close() // before its place is free
 	c.Server.mu.Lock()
 	delete(c.conns, c)
 	c.Server.mu.Unlock()
@@ -157,27 +165,44 @@
 // read takes frames until the connection ends; the end of the connection is no error.
 func (c *conn) read() error {
 	in := inlet.New(thrift.MaxFrame + 4)
-	for {
+	c.SetReadDeadline(time.Now().Add(whole)) // silence from the start is half a message too
+	for timed := true; ; {
 		frame, size, err := thrift.Frame(in.Bytes())
 		if err != nil {
 			return err
 		}
 		if size == 0 {
-			if err := in.Fill(c); err != nil {
-				if errors.Is(err, inlet.ErrFull) {
-					return err
-				}
+			if !timed && len(in.Bytes()) > 0 {
+				timed = true
+				c.SetReadDeadline(time.Now().Add(whole))
+			}
+			switch err := in.Fill(c); {
+			case err == nil:
+			case errors.Is(err, inlet.ErrFull):
+				return err
+			case !errors.Is(err, os.ErrDeadlineExceeded):
 				return nil
+			case c.shutIdle():
+				return errors.New("half a message, or none")
+			default: // what has been read is answered first
+				c.SetReadDeadline(time.Now().Add(whole / 10))
 			}
 			continue
 		}
+		if timed {
+			timed = false
+			c.SetReadDeadline(time.Time{})
+		}
 		c.mu.Lock()
 		shut, full := c.shut, len(c.open)+len(c.replies) >= mostOpen
-		c.used, c.reading = time.Now(), true
+		c.used, c.reading, c.known = time.Now(), true, true
 		c.mu.Unlock()
 		if shut {
 			return nil
 		}
+		if c.odd.Load() >= mostOdd {
+			return errors.New("too many RPCs that cannot be run")
+		}
 		if full {
 			return errors.New("more open RPCs than a connection may carry")
 		}
@@ -193,7 +218,7 @@
 
 // Execute takes in one RPC.
 func (c *conn) Execute(seq int32, op, uid []byte, src int, recv, ttl, heap float64, dedupe, body []byte) {
-	if c.twice(seq) {
+	if c.out(seq) {
 		return
 	}
 	now := clock()
@@ -201,22 +226,22 @@
 	tokened := known && c.tokened(method)
 	switch {
 	case !known:
-		c.Unreadable(seq, "op")
+		c.unreadable(seq, "op")
 		return
 	case tokened && len(dedupe) == 0:
-		c.Unreadable(seq, "dedupe")
+		c.unreadable(seq, "dedupe")
 		return
 	case recv < now-offClock || recv > now+offClock:
-		c.Unreadable(seq, "recv")
+		c.unreadable(seq, "recv")
 		return
 	case ttl > offClock:
-		c.Unreadable(seq, "ttl")
+		c.unreadable(seq, "ttl")
 		return
 	}
 	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
 	if c.held.Add(k.size()) > int64(c.charter.Load().Memory/heldShare) {
 		c.held.Add(-k.size())
-		c.Unreadable(seq, "no memory for it")
+		c.unreadable(seq, "no memory for it")
 		return
 	}
 	token := ""
@@ -226,35 +251,42 @@
 	c.mu.Lock()
 	c.open[seq] = k
 	c.mu.Unlock()
-	k.id = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, token, k)
+	var ok bool
+	if k.id, ok = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, k.uid, token, body, k); !ok {
+		c.mu.Lock()
+		delete(c.open, seq)
+		c.mu.Unlock()
+		c.held.Add(-k.size())
+		c.unreadable(seq, "call or dedupe of another RPC")
+	}
 }
 
 // offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
 const offClock = 3600.0
 
-// twice ends a connection that gives the number of an open RPC to another: to answer either would be to
+// out ends a connection whose RPCs' numbers do not rise: to answer one of two with the same number would be to
 // answer both.
-func (c *conn) twice(seq int32) bool {
-	c.mu.Lock()
-	_, open := c.open[seq]
-	c.mu.Unlock()
-	if open {
-		c.log.Warn("sequence number in use", zap.Stringer("router", c.RemoteAddr()))
-		c.Close()
+func (c *conn) out(seq int32) bool {
+	if seq > c.last {
+		c.last = seq
+		return false
 	}
-	return open
+	c.door.Warn("sequence number used before", zap.Stringer("router", c.RemoteAddr()))
+	c.Close()
+	return true
 }
 
 // Unreadable answers what cannot be run.
 func (c *conn) Unreadable(seq int32, why string) {
-	if c.twice(seq) {
-		return
-	}
-	if !c.odd {
-		c.odd = true
-		c.log.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
+	if !c.out(seq) {
+		c.unreadable(seq, why)
 	}
+}
+
+func (c *conn) unreadable(seq int32, why string) {
+	c.door.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
 	c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
+	c.odd.Add(1)
 }
 
 // Interrupt tells that nobody waits for an RPC any more.
--- a/server/server.go
+++ b/server/server.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 	"golang.org/x/sync/errgroup"
 
 	"valveglade/charter"
@@ -29,6 +30,7 @@
 	charter atomic.Pointer[charter.Charter] // the one in force
 	read    *charter.Charter                // as last read; only Reload's goroutine has it
 	log     *zap.Logger
+	door    *zap.Logger // for what any client can cause, as often as it likes: limited in rate
 	gate    *gate.Gate[*call]
 	link    *kernel.Link[*run]
 	methods map[string]int
@@ -56,7 +58,9 @@
 
 // New prepares an app server; nothing is opened before Serve.
 func New(c *charter.Charter, log *zap.Logger) *Server {
-	s := &Server{log: log, methods: map[string]int{}, conns: map[*conn]struct{}{},
+	s := &Server{log: log, door: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
+	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		left: make(chan struct{}, 1), said: make(chan struct{}, 1)}
 	s.charter.Store(c)
 	s.read = c
@@ -64,10 +68,13 @@
 		s.methods[name] = k
 	}
 	s.gate = gate.New[*call](clock(), c.Rules, c.Memory/keepShare)
-	s.link = kernel.New[*run](c.Kernel, s, log)
+	s.link = kernel.New[*run](c.Kernel, s, s.door)
 	return s
 }
 
+// lineEvery is how often one and the same line about clients may be logged: often enough to be seen.
+const lineEvery = time.Second
+
 func clock() float64 { return float64(time.Now().UnixNano()) / 1e9 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -195,7 +202,7 @@
 		switch job.Do {
 		case gate.Run:
 			if err := s.link.Run(&run{job.RPC, k}, k.uid, s.charter.Load().Methods[k.method], k.body); err != nil {
-				s.log.Warn("run not asked for", zap.Error(err))
+				s.door.Warn("run not asked for", zap.Error(err))
 				s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
 			}
 		case gate.Pause:
@@ -285,6 +292,9 @@
 		switch {
 		case attempt.Reach == kernel.NeverRan:
 			how = rpc.Moot
+			if attempt.Unknown {
+				r.conn.odd.Add(1)
+			}
 		case attempt.Stopped:
 			how = rpc.Cancelled
 		default:
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -191,7 +192,14 @@
 	for _, s := range pairs {
 		args += str(s)
 	}
-	r.send(1, "execute", seq, args+"\x0b\x00\x02"+str(fmt.Sprint("body ", seq))+"\x00")
+	body := fmt.Sprint("body ", seq)
+	if k := slices.Index(pairs, "dedupe"); k > 0 {
+		body = "body of " + pairs[k+1] // all tries carry the same
+	}
+	if k := slices.Index(pairs, "body"); k > 0 {
+		body = pairs[k+1] // but for those that are none
+	}
+	r.send(1, "execute", seq, args+"\x0b\x00\x02"+str(body)+"\x00")
 }
 
 func (r *router) interrupt(target int) {
@@ -258,7 +266,7 @@
 	// Output:
 	// router: 1 ok "" good 1
 	// kernel: SCHED 1 look body 1
-	// kernel: SCHED 2 record body 2
+	// kernel: SCHED 2 record body of t
 	// router: 2 ok "two" good 1
 	// router: 3 ok "two" good 1
 	// router: 1 ok "\x00\xff" good 1
@@ -365,7 +373,7 @@
 	t.close()
 	// Output:
 	// kernel: SCHED 1 look body 1
-	// kernel: SCHED 2 record body 2
+	// kernel: SCHED 2 record body of t
 	// kernel: PREEMPT 1
 	// router: 3 ok "two" good 1
 	// served: <nil>
@@ -402,7 +410,8 @@
 	// before the stop: true
 }
 
-// Past what the descriptors allow those idle longest make room, and nobody is turned away.
+// Past what the descriptors allow those idle longest make room; while all are at work the newcomer is turned away
+// at once, as behind it others wait to be let in.
 func Example_crowded() {
 	t := open(func(c *charter.Charter) { c.Sockets = reserve + 2 })
 	first, second := t.dial(), t.dial()
@@ -415,8 +424,9 @@
 	third := t.dial()
 	third.execute(3)
 	first.hear(1)
-	first.Close()
 	t.asked()
+	fourth := t.dial()
+	fourth.hear(1)
 	for k, r := range []*router{second, third} {
 		t.reap(k+2, "fine", "more")
 		r.hear(1)
@@ -426,13 +436,93 @@
 	// kernel: SCHED 1 look body 1
 	// kernel: SCHED 2 look body 2
 	// router: 1 ok "one" good 1
-	// router: draining, type 4
+	// router: the connection ends
 	// kernel: SCHED 3 look body 3
+	// router: the connection ends
 	// router: 2 ok "more" good 1
 	// router: 3 ok "more" good 1
 	// served: <nil>
 }
 
+// Who says nothing, or half of something, is let go in time; what had been read before is answered. The oldest
+// silent connection goes before an idle one that was used.
+func Example_silent() {
+	t := open(func(c *charter.Charter) { c.Sockets = reserve + 3 })
+	r, silent, half := t.dial(), t.dial(), t.dial()
+	r.execute(1)
+	t.asked()
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	half.execute(2)
+	t.asked()
+	fmt.Fprint(half, "\x00\x00\x00\x09half")
+	time.Sleep(fresh)
+	other := t.dial()
+	silent.hear(1)
+	began := time.Now()
+	other.hear(1)
+	fmt.Println("in time:", time.Since(began) < 2*time.Second)
+	t.reap(2, "fine", "two")
+	half.hear(2)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// kernel: SCHED 2 look body 2
+	// router: the connection ends
+	// router: the connection ends
+	// in time: true
+	// router: 2 ok "two" good 1
+	// router: the connection ends
+	// served: <nil>
+}
+
+// Names and tokens of others, and what nobody can run: each is aborted, and the usual router's RPC goes on. Who
+// sends nothing else is let go.
+func Example_strangers() {
+	t := open(nil)
+	r, bad := t.dial(), t.dial()
+	r.execute(1)
+	t.asked()
+	r.execute(2, "op", "record", "dedupe", "t")
+	t.asked()
+	bad.execute(1)
+	bad.hear(1)
+	t.reap(2, "fine", "two")
+	r.hear(1)
+	bad.execute(11, "op", "record", "dedupe", "t", "call", "00000000000000ff", "body", "x")
+	bad.hear(1)
+	bad.execute(12)
+	t.asked()
+	fmt.Fprintf(t.kernel, `{"action":"EINVAL","code":"SCHED","uid":"%016x"}`+"\n", 12)
+	bad.hear(1)
+	for k := range mostOdd - 3 {
+		bad.execute(13+k, "crit", "1")
+	}
+	bad.hear(mostOdd - 3)
+	bad.execute(18)
+	bad.hear(1)
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// kernel: SCHED 2 record body of t
+	// router: 1 aborted
+	// router: 2 ok "two" good 1
+	// router: 11 aborted
+	// kernel: SCHED c look body 12
+	// router: 12 aborted
+	// router: 13 aborted
+	// router: 14 aborted
+	// router: 15 aborted
+	// router: 16 aborted
+	// router: 17 aborted
+	// router: the connection ends
+	// router: 1 ok "one" good 1
+	// served: <nil>
+}
+
 // Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
 func Example_memory() {
 	t := open(func(c *charter.Charter) { c.Memory = heldShare * 3 * callSize / 2 })
