Keep giving credit in a drain until the grace has passed

At fault: publish in logic/logic.go set the credit to 0 at the notice, so routers heeded at once what the list told seconds later, while successors were cold.

Now the credit goes to 0 with the end of the grace. It could harm where a leaving app server is slow to finish; RPCs that cannot end before the stop are refused as hopeless.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -287,14 +287,16 @@
 	s.say()
 	fmt.Println("healthy", s.Healthy(), "credit", s.Credit())
 	s.pass(1.1)
+	fmt.Println("credit", s.Credit())
 	s.arrive("late", read, "")
 	s.report("a1", rpc.OK, "done")
 	// Output:
 	//  0.00 a1: run
-	// healthy false credit 0
+	// healthy false credit 2
 	//  0.98 a1: aborted
 	//  0.98 a2: aborted
 	//  0.98 b: pushed back
+	// credit 0
 	//  1.10 late: pushed back
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -697,12 +697,12 @@
 }
 
 // publish says the free credit, which goes out with every answer, in the terms of the site's signal: as it
-// is, or as the share of what is in hand that the pool covers. One that leaves wants nothing more.
+// is, or as the share of what is in hand that the pool covers. One that leaves wants nothing past the grace.
 func (m *Module) publish() {
 	inHand := float64(m.count[held] + m.count[running] + m.count[stalled] + m.count[calling])
 	cover := min(1, m.pool/max(inHand, 1))
 	m.credit = max(1, math.Ceil(m.pool/m.heard()))
-	if m.leaving {
+	if m.leaving && m.now >= min(m.noticed+m.Rules.Grace, m.stop) {
 		m.credit, cover = 0, 0
 	}
 	value, heeded := map[rpc.Signal]float64{rpc.Allowance: m.credit, rpc.Weight: cover,
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -235,8 +235,8 @@
 	//   2.42 log work hangs: true
 }
 
-// The notice: callers are told to stay away, what came past the grace is not run, a repeat of what ran is not
-// refused, and all is answered before the stop.
+// The notice: callers are told to stay away once the grace is over, and not before, as what comes until then is
+// run; what came past it is not, a repeat of what ran is not refused, and all is answered before the stop.
 func Example_leave() {
 	d := open(nil)
 	d.credits = true
@@ -253,8 +253,10 @@
 	//   0.00 start 0
 	//   0.00 start 1
 	//   0.00 health false
-	//   0.00 credit 0.0
+	//   0.00 credit 4.0
 	//   0.00 log leaving: 0 held, 2 running
+	//   0.22 credit 5.0
+	//   1.10 credit 0.0
 	//   1.10 push back 2, last false, after 1.00
 	//   1.10 abort 3
 	//   2.48 abort 0
