Give a new router the index of the one longest unheard, not one index for all

Routers restart under new numbers, so in the end heard() is 1 and the credit becomes the whole pool for each. Now 1,024 are kept, and the one longest unheard that has nothing in hand makes room. Example_numbers fails without it.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,6 +55,7 @@
 	uid   string // its name outside, given to one RPC in hand at a time
 	token string
 	body  uint64  // digest of its method and body
+	from  int     // its caller's index
 	ahead float64 // by how much recv lies ahead of the clock
 	entry *entry  // under which the module knows its token
 }
@@ -69,7 +70,8 @@
 	spare   []int
 	uids    map[string]struct{}
 	seed    maphash.Seed
-	callers map[int]int
+	callers map[int]int // indices by the numbers that callers give themselves
+	known   []caller
 	tokens  table
 	ended   []int // followers whose outcome is there, to be told to the module
 	jobs    []Job[T]
@@ -82,8 +84,37 @@
 	notes   []string
 }
 
-// maxCallers bounds what callers with made-up numbers can take; past it they count as one.
-const maxCallers = 1 << 12
+// caller is what is kept by its index: the number it goes by, its RPCs in hand, when it last sent one.
+type caller struct {
+	number, out int
+	heard       float64
+}
+
+// maxCallers bounds what new numbers can take, as routers that restart come under others: many times the
+// routers that there are at once. Past it the one longest unheard that has nothing here makes room.
+const maxCallers = 1 << 10
+
+// caller gives the index of a caller. While all known ones are busy, newcomers count as one.
+func (g *Gate[T]) caller(number int, now float64) int {
+	from, ok := g.callers[number]
+	switch {
+	case ok:
+	case len(g.known) < maxCallers:
+		from = len(g.known)
+		g.known = append(g.known, caller{})
+	default:
+		from = maxCallers - 1
+		for k, c := range g.known {
+			if c.out == 0 && (g.known[from].out > 0 || c.heard < g.known[from].heard) {
+				from = k
+			}
+		}
+		delete(g.callers, g.known[from].number)
+	}
+	g.callers[number] = from
+	g.known[from].number, g.known[from].heard = number, now
+	return from
+}
 
 // New starts a gate; keep bounds the bytes of kept results.
 func New[T any](now float64, c rpc.Charter, keep int) *Gate[T] {
@@ -129,13 +160,8 @@
 		}
 	}
 	g.uids[uid] = struct{}{}
-	from, ok := g.callers[src]
-	if !ok {
-		from = min(len(g.callers), maxCallers)
-		if from < maxCallers {
-			g.callers[src] = from
-		}
-	}
+	from := g.caller(src, now)
+	g.known[from].out++
 	if n := len(g.spare); n == 0 {
 		g.spare = append(g.spare, len(g.slots))
 		g.slots = append(g.slots, slot[T]{})
@@ -143,7 +169,8 @@
 	i := g.spare[len(g.spare)-1]
 	g.spare = g.spare[:len(g.spare)-1]
 	s := &g.slots[i]
-	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, ahead: max(recv-now, 0)}
+	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, from: from,
+		ahead: max(recv-now, 0)}
 	g.move(i, owed)
 	id = ID{i, s.life}
 	repeats := rpc.None
@@ -331,6 +358,7 @@
 			s.entry.unfollow(i)
 		}
 		delete(g.uids, s.uid)
+		g.known[s.from].out--
 		*s = slot[T]{life: s.life}
 		g.spare = append(g.spare, i)
 	}
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -277,6 +277,28 @@
 	//  0.00 a: run
 }
 
+// Routers that come back under new numbers for ever: the table stays bounded, a number that is in use keeps its
+// index, and the rest are not counted as one, which would make the credit many times what it should be.
+func Example_numbers() {
+	s := open(2, 1000)
+	send := func(src int) ID {
+		id, _ := s.Arrive(s.now, read, src, s.now, s.now+4, 20, fmt.Sprint(src), "", nil, "")
+		s.now += 0.001
+		return id
+	}
+	busy := send(7)
+	for src := 100; src < 100+3*maxCallers; src++ {
+		s.Report(s.now, send(src), rpc.OK, 0.1, nil)
+	}
+	s.Report(s.now, send(100), rpc.OK, 0.1, nil)
+	fmt.Println(len(s.callers), len(s.known), s.known[s.callers[7]], s.known[s.callers[100]].out)
+	s.Report(s.now, busy, rpc.OK, 0.1, nil)
+	fmt.Println(s.known[s.callers[7]].out)
+	// Output:
+	// 1024 1024 {7 1 100} 0
+	// 0
+}
+
 // Leaving: all is answered before the stop, also a repeat whose outcome has not come.
 func Example_leave() {
 	s := open(1, 1000)
