Let go of runs whose end was among lost notices

Now the runs in hand at that moment are taken for ended without a result after 20 s, unless their end comes.

--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -59,6 +59,8 @@
 	log   *zap.Logger
 	moved chan struct{} // holds one after a change of at
 
+	doubtFor time.Duration // given to runs whose end may have been lost
+
 	mu       sync.Mutex
 	at       netip.AddrPort
 	runs     map[string]K
@@ -75,7 +77,7 @@
 }
 
 func New[K any](at netip.AddrPort, owner Owner[K], log *zap.Logger) *Link[K] {
-	return &Link[K]{at: at, owner: owner, log: log, moved: make(chan struct{}, 1), runs: map[string]K{},
+	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, moved: make(chan struct{}, 1), runs: map[string]K{},
 		work: make(chan struct{}, 1), informed: make(chan struct{}, 1)}
 }
 
@@ -169,6 +171,7 @@
 	firstTry = 5 * time.Millisecond
 	lastTry  = 250 * time.Millisecond // a connection on one machine costs little
 	silence  = 5 * time.Second        // gauges are asked for many times a second: the link is dead
+	longRun  = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
 )
 
 // Move takes the link to another address. The connection that there is goes on until one to the new address
--- a/internal/kernel/link_test.go
+++ b/internal/kernel/link_test.go
@@ -25,13 +25,18 @@
 	without bool // gauges
 }
 
-func start() *cores {
+func start() *cores { return startWith(nil) }
+
+func startWith(change func(l *Link[string])) *cores {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	c := &cores{Listener: listener, told: make(chan string, 100)}
 	c.Link = New[string](netip.MustParseAddrPort(listener.Addr().String()), c, zap.NewNop())
+	if change != nil {
+		change(c.Link)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	served := make(chan error)
 	go func() { served <- c.Serve(ctx) }()
@@ -241,6 +246,46 @@
 	// ended: <nil>
 }
 
+// Notices that the kernel has no longer: a run that ended with one of them is let go after a while, and would
+// else count as running for ever; one whose end comes, and one asked for later, end as they should.
+func Example_doubt() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 50 * time.Millisecond })
+	c.accept()
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.hear(1)
+	c.Run("A", "a", "look", nil)
+	c.Run("B", "b", "look", nil)
+	c.hear(2)
+	go c.Gauges(20 * time.Second)
+	c.hear(1) // its answer proves that both have been read
+	c.conn.Close()
+	c.accept()
+	c.Run("C", "c", "look", nil)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":99}`, `{"action":"DMESG","pos":4001,"code":"hm"}`,
+		`{"action":"REAP","pos":4002,"uid":"b","code":"fine","wall_ms":6,"content":"Yg=="}`)
+	c.owner(4)
+	c.hear(2)
+	c.say(`{"action":"REAP","pos":4003,"uid":"a","code":"fine","wall_ms":6}`,
+		`{"action":"REAP","pos":4004,"uid":"c","code":"fine","wall_ms":6}`)
+	c.owner(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// booted 0.01 ago, cold false
+	// booted 0.099 ago, cold false
+	// B ended after 0.006: "b", <nil>
+	// A ended after 0: "", run end lost (sent)
+	// < {"action":"SYSINFO","echo":"3"} <nil>
+	// < {"action":"SCHED","uid":"c","lane":"look","content":""} <nil>
+	// C ended after 0.006: "", <nil>
+	// ended: <nil>
+}
+
 // The kernel moves: the old connection serves until one to the new address stands, then runs, the number of the
 // last notice and what may not have been read go over. Before there was Move the link died with the old address.
 func Example_moved() {
--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -126,11 +126,28 @@
 		return false, false
 	case pos > l.pos+1:
 		l.log.Warn("notices lost", zap.Int("from", l.pos+1), zap.Int("to", pos-1))
+		l.doubt()
 	}
 	l.pos = pos
 	return true, true
 }
 
+// doubt ends the runs in hand, unless their end comes after all: among the lost notices there may have been
+// theirs, and without one a run would count for ever. Called under the lock.
+func (l *Link[K]) doubt() {
+	var doubtful []string
+	for uid := range l.runs {
+		if !slices.ContainsFunc(l.unread, func(c command) bool { return c.uid == uid }) {
+			doubtful = append(doubtful, uid)
+		}
+	}
+	time.AfterFunc(l.doubtFor, func() {
+		for _, uid := range doubtful {
+			l.ended(uid, 0, nil, &Attempt{Reach: Sent, Why: "end lost"})
+		}
+	})
+}
+
 func (l *Link[K]) ended(uid string, took float64, result []byte, err error) (known bool) {
 	l.mu.Lock()
 	run, known := l.runs[uid]
