--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -354,6 +354,49 @@
 	//   0.50 push back 15, last true, after 0.30
 }
 
+// A caller that says how long it waits and takes back many at once teaches no patience: with it the last two would
+// be pushed back though there is time. What repeats an RPC that turns out never to have run is run itself.
+func Example_takenBack() {
+	d := open(nil)
+	tell := func(i int) { d.m.Arrive(d.now, i, read, 0, 0, false, d.now+3, 20, rpc.None) }
+	for i := range 5 {
+		tell(i)
+		d.m.CallerGone(d.now, i)
+		d.ended(i, rpc.Cancelled)
+	}
+	tell(5)
+	d.arrive(6, write)
+	tell(7)
+	d.repeat(8, write, 6)
+	d.pass(0.1)
+	d.ended(5, rpc.OK)
+	d.ended(6, rpc.Moot)
+	d.ended(8, rpc.Moot)
+	d.ended(7, rpc.OK)
+	d.ended(8, rpc.OK)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 stop 0
+	//   0.00 start 1
+	//   0.00 stop 1
+	//   0.00 start 2
+	//   0.00 stop 2
+	//   0.00 start 3
+	//   0.00 stop 3
+	//   0.00 start 4
+	//   0.00 stop 4
+	//   0.00 start 5
+	//   0.00 remember 6 for 10.02
+	//   0.00 start 6
+	//   0.00 follow 8
+	//   0.10 start 7
+	//   0.10 forget 6
+	//   0.10 abort 6
+	//   0.10 remember 8 for 10.02
+	//   0.10 start 8
+}
+
 // Callers that each come once give up at one age: what cannot be done by then is pushed back.
 func Example_patience() {
 	d := open(nil)
