--- a/server/conn.go
+++ b/server/conn.go
@@ -116,9 +116,9 @@
 func (c *conn) shutIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rests() {
+	if c.rests() && !c.shut {
 		c.shut = true
-		c.Close()
+		go c.Close() // it may wait for whoever uses the descriptor, and locks are held that accepting needs
 	}
 	return c.shut
 }
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -523,6 +523,34 @@
 	// served: <nil>
 }
 
+// waits is a connection whose close takes for ever.
+type waits struct {
+	net.Conn
+	end chan bool
+}
+
+func (w waits) Close() error {
+	<-w.end
+	return nil
+}
+
+// Making room never waits for the one that goes: else one close would keep all newcomers out.
+func Example_room() {
+	t := open(func(c *charter.Charter) { c.Sockets = reserve + 1 })
+	stuck := waits{end: make(chan bool)}
+	t.Server.mu.Lock()
+	t.conns[&conn{Server: t.Server, Conn: stuck, known: true}] = struct{}{}
+	t.Server.mu.Unlock()
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	close(stuck.end)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// served: <nil>
+}
+
 // Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
 func Example_memory() {
 	t := open(func(c *charter.Charter) { c.Memory = heldShare * 3 * callSize / 2 })
