--- /dev/null
+++ b/charter/fleet.go
@@ -0,0 +1,240 @@
+package charter
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"valveglade/logic/view"
+)
+
+// Fleet is how app servers find each other, where they may talk at all. Times are seconds.
+type Fleet struct {
+	Listen    netip.AddrPort // not valid while the fleet is off
+	Advertise netip.AddrPort // not valid where others reach Listen itself
+	Join      []netip.AddrPort
+	Zone      string
+	Allow     []netip.Prefix
+	Probe     float64
+	Hold      float64
+	Forget    float64
+	Socket    string
+}
+
+// On tells whether the app server is to take part in a fleet.
+func (f Fleet) On() bool { return f.Listen.IsValid() }
+
+// What a name or a zone may be long, in bytes, and how many addresses may be given: each is tried in turn.
+const mostLetters, mostJoin = 64, 64
+
+// mostPath is what a local socket's path may be long, on every system that has them.
+const mostPath = 100
+
+// usualAllow is where packets of the fleet may come from unless the operators say otherwise: private networks and this
+// machine.
+var usualAllow = []string{"127.0.0.0/8", "10.0.0.0/8", "172.16.0.0/12", "192.168.0.0/16", "169.254.0.0/16", "::1/128",
+	"fc00::/7", "fe80::/10"}
+
+func newFleet() Fleet {
+	usual := view.Defaults()
+	f := Fleet{Probe: 0.3, Hold: usual.Hold, Forget: usual.Forget}
+	for _, p := range usualAllow {
+		f.Allow = append(f.Allow, netip.MustParsePrefix(p))
+	}
+	return f
+}
+
+var fleetDirectives = []directive{
+	{"fleet.listen", "ADDRESS:PORT|off", "where other app servers reach this one, packets and streams; it takes part in a fleet",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "off" {
+				return nil
+			}
+			return address(&b.Fleet.Listen, w)
+		},
+		func(b *Bylaws) string { return showAddress(b.Fleet.Listen, "off") }},
+	{"fleet.advertise", "ADDRESS:PORT|listen", "the address that others are told, where it is not that of fleet.listen",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "listen" {
+				return nil
+			}
+			return address(&b.Fleet.Advertise, w)
+		},
+		func(b *Bylaws) string { return showAddress(b.Fleet.Advertise, "listen") }},
+	{"fleet.join", "none|ADDRESS:PORT...", "where others may be; most of them may be dead",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 0 || len(w) > mostJoin {
+				return fmt.Errorf("one to %d addresses are wanted, or none", mostJoin)
+			}
+			if len(w) == 1 && w[0] == "none" {
+				return nil
+			}
+			for _, one := range w {
+				var at netip.AddrPort
+				if err := address(&at, []string{one}); err != nil {
+					return err
+				}
+				if slices.Contains(b.Fleet.Join, at) {
+					return fmt.Errorf("%s is named twice", at)
+				}
+				b.Fleet.Join = append(b.Fleet.Join, at)
+			}
+			return nil
+		},
+		func(b *Bylaws) string {
+			if len(b.Fleet.Join) == 0 {
+				return "none"
+			}
+			return showAll(b.Fleet.Join)
+		}},
+	{"fleet.zone", "NAME|none", "what fails together with this app server: a rack, a hall, a zone",
+		func(b *Bylaws, w []string) error {
+			if len(w) != 1 || w[0] == "" || len(w[0]) > mostLetters {
+				return fmt.Errorf("one name of at most %d bytes is wanted", mostLetters)
+			}
+			if w[0] != "none" {
+				b.Fleet.Zone = w[0]
+			}
+			return nil
+		},
+		func(b *Bylaws) string {
+			if b.Fleet.Zone == "" {
+				return "none"
+			}
+			return b.Fleet.Zone
+		}},
+	{"fleet.allow", "PREFIX...", "networks from which fleet packets are taken; all others are dropped and counted",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 0 {
+				return errors.New("at least one network such as 10.0.0.0/8 is wanted")
+			}
+			b.Fleet.Allow = nil
+			for _, one := range w {
+				p, err := netip.ParsePrefix(one)
+				if err != nil {
+					return fmt.Errorf("%q is no network such as 10.0.0.0/8", one)
+				}
+				if p != p.Masked() {
+					return fmt.Errorf("%s has bits past its length: %s is meant?", p, p.Masked())
+				}
+				b.Fleet.Allow = append(b.Fleet.Allow, p)
+			}
+			return nil
+		},
+		func(b *Bylaws) string { return showAll(b.Fleet.Allow) }},
+	{"fleet.probe", "TIME", "between two probes of others: a death is known after some ten of them",
+		func(b *Bylaws, w []string) error { return span(&b.Fleet.Probe, w, 0.1, 10) },
+		func(b *Bylaws) string { return showSpan(b.Fleet.Probe) }},
+	{"fleet.hold", "TIME", "for which a death has to stand before the view shows it",
+		func(b *Bylaws, w []string) error { return span(&b.Fleet.Hold, w, 0.1, 60) },
+		func(b *Bylaws) string { return showSpan(b.Fleet.Hold) }},
+	{"fleet.forget", "TIME", "after which the dead are no longer looked for, and a narrow view is taken for the fleet",
+		func(b *Bylaws, w []string) error { return span(&b.Fleet.Forget, w, 10, 86400) },
+		func(b *Bylaws) string { return showSpan(b.Fleet.Forget) }},
+	{"fleet.socket", "PATH|none", "a local socket that tells the view, for `valveglade fleet`",
+		func(b *Bylaws, w []string) error {
+			if len(w) != 1 || w[0] == "" || len(w[0]) > mostPath {
+				return fmt.Errorf("one path of at most %d bytes is wanted", mostPath)
+			}
+			if w[0] != "none" {
+				b.Fleet.Socket = w[0]
+			}
+			return nil
+		},
+		func(b *Bylaws) string {
+			if b.Fleet.Socket == "" {
+				return "none"
+			}
+			return b.Fleet.Socket
+		}},
+}
+
+func address(into *netip.AddrPort, words []string) error {
+	if len(words) != 1 {
+		return errors.New("one address and port such as 10.0.0.4:7946 is wanted")
+	}
+	at, err := netip.ParseAddrPort(words[0])
+	if err != nil || at.Port() == 0 {
+		return fmt.Errorf("%q is no address and port such as 10.0.0.4:7946", words[0])
+	}
+	*into = at
+	return nil
+}
+
+func showAddress(at netip.AddrPort, otherwise string) string {
+	if !at.IsValid() {
+		return otherwise
+	}
+	return at.String()
+}
+
+func showAll[T fmt.Stringer](all []T) string {
+	var words []string
+	for _, one := range all {
+		words = append(words, one.String())
+	}
+	return strings.Join(words, " ")
+}
+
+// allows tells whether an address is among those that packets are taken from.
+func (f Fleet) allows(at netip.Addr) bool {
+	return slices.ContainsFunc(f.Allow, func(p netip.Prefix) bool { return p.Contains(at.Unmap()) })
+}
+
+// checkFleet refuses what contradicts itself.
+func (b *Bylaws) checkFleet() error {
+	f := b.Fleet
+	misrule := func(name, why string, args ...any) error {
+		return &Misrule{b.Path, b.lines[name], name, fmt.Sprintf(why, args...)}
+	}
+	if !f.On() {
+		for _, d := range fleetDirectives {
+			if d.name != "fleet.listen" && b.lines[d.name] > 0 && d.show(b) != d.show(NewBylaws()) {
+				return misrule(d.name, "fleet.listen is not set")
+			}
+		}
+		return nil
+	}
+	others := f.Advertise
+	if !others.IsValid() {
+		if f.Listen.Addr().IsUnspecified() {
+			return misrule("fleet.listen", "others need to be told an address: set fleet.advertise")
+		}
+		others = f.Listen
+	}
+	name := "fleet.advertise"
+	if b.lines[name] == 0 {
+		name = "fleet.listen"
+	}
+	switch {
+	case others.Addr().IsUnspecified():
+		return misrule(name, "%s is no address that others could reach", others)
+	case !f.allows(others.Addr()):
+		return misrule(name, "%s is not among fleet.allow, so others would drop what comes from there", others)
+	case f.Hold < f.Probe:
+		at := "fleet.hold"
+		if b.lines[at] == 0 {
+			at = "fleet.probe"
+		}
+		return misrule(at, "a hold of %s is less than the %s between two probes", showSpan(f.Hold), showSpan(f.Probe))
+	}
+	for _, at := range f.Join {
+		if !f.allows(at.Addr()) {
+			return misrule("fleet.join", "%s is not among fleet.allow", at)
+		}
+	}
+	return nil
+}
+
+// Suits refuses what the fleet's bylaws and the platform's charter make of each other.
+func (f Fleet) Suits(c *Charter) error {
+	switch {
+	case len(c.Name) > mostLetters:
+		return fault("name", "%d bytes are more than the %d that a fleet takes", len(c.Name), mostLetters)
+	case f.Listen == c.Listen:
+		return fault("listen", "%s is the fleet's too", c.Listen)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/rehearse/bare.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"log"
+	"net"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"github.com/spf13/cobra"
+)
+
+// bareCommand is the baseline of the fleet's view: the gossip library alone, with its own transport, at the same probe
+// interval. It tells its members on standard error as the program tells its view.
+func bareCommand() *cobra.Command {
+	var name, listen, advertise, join string
+	var probe time.Duration
+	c := &cobra.Command{Use: "bare", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		c := memberlist.DefaultLANConfig()
+		c.Name, c.ProbeInterval, c.ProbeTimeout, c.Logger = name, probe, probe/2, log.New(io.Discard, "", 0)
+		for _, a := range []struct {
+			text string
+			host *string
+			port *int
+		}{{listen, &c.BindAddr, &c.BindPort}, {advertise, &c.AdvertiseAddr, &c.AdvertisePort}} {
+			host, port, err := net.SplitHostPort(a.text)
+			if err != nil {
+				return err
+			}
+			*a.host = host
+			if *a.port, err = strconv.Atoi(port); err != nil {
+				return err
+			}
+		}
+		list, err := memberlist.Create(c)
+		if err != nil {
+			return err
+		}
+		for met := false; ; time.Sleep(100 * time.Millisecond) {
+			if !met {
+				n, _ := list.Join(strings.Split(join, ","))
+				met = n > 1 || list.NumMembers() > 1
+			}
+			tellBare(list.Members())
+		}
+	}}
+	c.Flags().StringVar(&name, "name", "", "")
+	c.Flags().StringVar(&listen, "listen", "", "")
+	c.Flags().StringVar(&advertise, "advertise", "", "")
+	c.Flags().StringVar(&join, "join", "", "")
+	c.Flags().DurationVar(&probe, "probe", 400*time.Millisecond, "")
+	return c
+}
+
+var lastBare string
+
+func tellBare(members []*memberlist.Node) {
+	var names []string
+	for _, n := range members {
+		names = append(names, n.Name)
+	}
+	slices.Sort(names)
+	all := strings.Join(names, " ")
+	if all == lastBare {
+		return
+	}
+	lastBare = all
+	h := fnv.New64a()
+	h.Write([]byte(all))
+	json.NewEncoder(os.Stderr).Encode(map[string]any{"msg": "view", "digest": fmt.Sprintf("%016x", h.Sum64()),
+		"members": len(names), "sure": "", "changes": []string{}})
+}
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -27,6 +27,8 @@
 var rehearsals = []rehearsal{
 	{"client", "the careful client against a naive one: outages, refusals, reconnects, cost", playClient},
 	{"pressure", "shedding before falling behind: a tripling, a leak, few cores, each with it off beside", playPressure},
+	{"view", "the fleet's view: deaths, flapping, two under one name, releases, with the fleet off beside", playView},
+	{"view-faults", "the fleet's view between cuts and loss, the gossip library alone beside", playViewFaults},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
 }
 
@@ -40,13 +42,15 @@
 
 // play is one rehearsal under way.
 type play struct {
-	Seed    uint64
-	Long    bool
-	Program string // the program's binary
-	brief   bool   // the shortest form, for tests
-	out     io.Writer
-	figures []figure
-	began   time.Time
+	Seed     uint64
+	Long     bool
+	Program  string // the program's binary
+	History  string // a file for what was said and done, if any
+	rehearse string // this program's binary, where it is not the one that runs
+	brief    bool   // the shortest form, for tests
+	out      io.Writer
+	figures  []figure
+	began    time.Time
 }
 
 // span is how long a part of a rehearsal takes: a third of it in the shortest form.
@@ -123,8 +127,9 @@
 	run.Flags().Uint64Var(&p.Seed, "seed", 1, "for all that is left to chance")
 	run.Flags().BoolVar(&p.Long, "long", false, "the long form")
 	run.Flags().StringVar(&p.Program, "program", beside("valveglade"), "the program's binary")
+	run.Flags().StringVar(&p.History, "history", "", "write all that was said and done to this file, as JSON lines")
 	run.Flags().StringVar(&path, "json", "", "write the figures to this file too")
-	root.AddCommand(run, echoCommand())
+	root.AddCommand(run, echoCommand(), bareCommand())
 	return root
 }
 
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -83,3 +83,11 @@
 		t.Errorf("%v: %s", err, &out)
 	}
 }
+
+func TestView(t *testing.T) {
+	rules(t, "view", "joined.all", "named.twice.resolved", "false.deaths.lasting", "views.differ.at.end", "breaches")
+}
+
+func TestViewFaults(t *testing.T) {
+	rules(t, "view-faults", "joined.all", "narrow.said", "rejoined.max", "one.way.deaths.lasting", "views.differ.at.end", "breaches")
+}
--- /dev/null
+++ b/cmd/rehearse/view.go
@@ -0,0 +1,458 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"valveglade/rig"
+)
+
+// names are n1 to the n-th.
+func names(n int) []string {
+	var all []string
+	for k := range n {
+		all = append(all, fmt.Sprintf("n%d", k+1))
+	}
+	return all
+}
+
+// fleetSite is a site whose processes are given little to do, so that what is seen is what the faults did.
+func fleetSite() rig.Site {
+	site := tillSite(4, 30)
+	site.Stop, site.Grace = 1800*time.Millisecond, time.Second
+	return site
+}
+
+// rigSlack is what the checker allows: with many processes on a few cores, that is mostly the machine's.
+const rigSlack = 300 * time.Millisecond
+
+// flock is some swarms that live through the same.
+type flock struct {
+	p      *play
+	swarms []*rig.Swarm
+}
+
+// all does something to each swarm at the same time.
+func (f *flock) all(do func(*rig.Swarm) error) error {
+	errs := make([]error, len(f.swarms))
+	var group sync.WaitGroup
+	for k, s := range f.swarms {
+		group.Go(func() { errs[k] = do(s) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+func (f *flock) close() {
+	var group sync.WaitGroup
+	for _, s := range f.swarms {
+		group.Go(s.Close)
+	}
+	group.Wait()
+}
+
+// plan is a swarm of n processes, of which the first two addresses that each is given belong to nobody.
+func (p *play) plan(n int) rig.Plan {
+	return rig.Plan{Program: p.Program, Names: names(n), Site: fleetSite(), Zones: 3, Seeds: 3, DeadEnd: 2, Slack: rigSlack,
+		Seed: p.Seed}
+}
+
+// bare is the same with the gossip library alone.
+func (p *play) bare(n int) rig.Plan {
+	plan := p.plan(n)
+	plan.Bare = func(name, listen, advertise string, join []string) *exec.Cmd {
+		self, _ := os.Executable()
+		if p.brief {
+			self = p.rehearse
+		}
+		return exec.Command(self, "bare", "--name", name, "--listen", listen, "--advertise", advertise, "--join",
+			strings.Join(join, ","))
+	}
+	return plan
+}
+
+// load asks all of some processes for a length of time, each by a caller of its own.
+func (p *play) load(s *rig.Swarm, length time.Duration, rate float64, who []string) map[string]rig.Outcome {
+	out := map[string]rig.Outcome{}
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	for k, name := range who {
+		group.Go(func() {
+			router := rig.NewRouter(k+1, s.Addresses(name)[0])
+			defer router.Close()
+			l := rig.Load{Seed: p.Seed + uint64(k)<<32, Length: length, Prefix: name + "-", Shares: till(0.004, time.Second),
+				Rate: func(float64) float64 { return rate }}
+			o := l.Run(context.Background(), s.Check, router)
+			mu.Lock()
+			out[name] = o
+			mu.Unlock()
+		})
+	}
+	group.Wait()
+	return out
+}
+
+// service is the share of criticality served by some of them together.
+func service(out map[string]rig.Outcome, who []string) float64 {
+	sum := 0.0
+	for _, name := range who {
+		sum += out[name].Criticality
+	}
+	return sum / float64(len(who))
+}
+
+// known gives how long after a time the last of the viewers told of something about a name, in seconds: +Inf if one
+// never did.
+func known(s *rig.Swarm, name, what string, from float64, viewers []string) float64 {
+	worst := 0.0
+	for _, viewer := range viewers {
+		at := math.Inf(1)
+		for _, sight := range s.History.Sights(viewer, from) {
+			if slices.ContainsFunc(sight.Changes, func(c string) bool { return strings.HasPrefix(c, name+" "+what) }) {
+				at = sight.T - from
+				break
+			}
+		}
+		worst = max(worst, at)
+	}
+	return worst
+}
+
+// versions counts the different views that a process told from one time to another.
+func versions(s *rig.Swarm, viewer string, from, to float64) int {
+	n, last := 0, ""
+	for _, sight := range s.History.Sights(viewer, 0) {
+		if sight.T >= from && sight.T < to && sight.Digest != last {
+			n++
+		}
+		last = sight.Digest
+	}
+	return n
+}
+
+// buried counts members that were told dead by viewers though they lived, and how many of these were not back within a
+// span. Alive tells whether a member was alive at a time.
+func buried(s *rig.Swarm, from, to, span float64, viewers []string, alive func(name string, t float64) bool) (all, lasting int) {
+	for _, viewer := range viewers {
+		sights := s.History.Sights(viewer, from)
+		for k, sight := range sights {
+			for _, c := range sight.Changes {
+				name, rest, _ := strings.Cut(c, " ")
+				if !strings.HasPrefix(rest, "went: ") || strings.Contains(rest, "left") || sight.T > to || !alive(name, sight.T) {
+					continue
+				}
+				all++
+				back := slices.ContainsFunc(sights[k:], func(l rig.Sight) bool {
+					return l.T < sight.T+span && slices.ContainsFunc(l.Changes, func(c string) bool { return strings.HasPrefix(c, name+" came") })
+				})
+				if !back {
+					lasting++
+				}
+			}
+		}
+	}
+	return all, lasting
+}
+
+// breaches has the checkers' last word.
+func (p *play) breaches(swarms ...*rig.Swarm) {
+	n := 0
+	for _, s := range swarms {
+		s.Check.Finish()
+		for k, b := range s.Check.Breaches() {
+			n++
+			if k < 5 {
+				p.say("%s", b)
+			}
+		}
+	}
+	p.exactly("breaches", float64(n), 0)
+}
+
+// untilAlike waits until all of these see one view of n members; the time counts in a figure.
+func (p *play) untilAlike(s *rig.Swarm, within time.Duration, n int, who []string) float64 {
+	took, ok := s.Until(within, func() bool { return s.History.Alike(n, who...) })
+	if !ok {
+		for _, name := range who {
+			sight, _ := s.History.Latest(name)
+			p.say("%s: %d members, %s, %s", name, sight.Members, sight.Digest, sight.Sure)
+		}
+		return math.Inf(1)
+	}
+	return took
+}
+
+// keep writes the history to a file, if one was asked for.
+func (p *play) keep(s *rig.Swarm) error {
+	if p.History == "" {
+		return nil
+	}
+	f, err := os.Create(p.History)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return s.History.Write(f)
+}
+
+// playView is the rehearsal of the view: deaths, flapping, two under one name, a sleeper, a rolling release and a start of
+// all at once, beside the same processes with the fleet off.
+func playView(p *play) error {
+	const n = 12
+	f := &flock{p: p}
+	defer f.close()
+	var on, off *rig.Swarm
+	var group sync.WaitGroup
+	var errOn, errOff error
+	began := time.Now()
+	group.Go(func() { on, errOn = rig.NewSwarm(p.plan(n)) })
+	plan := p.plan(n)
+	plan.Off = true
+	group.Go(func() { off, errOff = rig.NewSwarm(plan) })
+	group.Wait()
+	for _, s := range []*rig.Swarm{on, off} {
+		if s != nil {
+			f.swarms = append(f.swarms, s)
+		}
+	}
+	if err := errors.Join(errOn, errOff); err != nil {
+		return err
+	}
+	all := names(n)
+	p.untilAlike(on, 15*time.Second, n, all)
+	p.atMost("joined.all", time.Since(began).Seconds(), 10)
+
+	// Nobody does anything to the first half; to the second, all kinds of things.
+	still, rest := all[:6], all[6:]
+	length := 12 * time.Second
+	served := map[*rig.Swarm]map[string]rig.Outcome{}
+	var mu sync.Mutex
+	var loads sync.WaitGroup
+	for _, s := range f.swarms {
+		loads.Go(func() {
+			out := p.load(s, length, 25, all)
+			mu.Lock()
+			served[s] = out
+			mu.Unlock()
+		})
+	}
+	from := on.History.Now()
+	cpu := map[string]time.Duration{}
+	for _, name := range still {
+		cpu[name] = on.CPU(name)
+	}
+	const script = `
+		0s    kill n12
+		0s    stop n9
+		0.5s  twin n10
+		1s    restart n11
+		2s    restart n11
+		3s    restart n11
+		4s    restart n11
+		5s    restart n11
+		5s    cont n9
+		6s    restart n11
+		7s    restart n11
+		8s    restart n11
+		9s    restart n11
+		10s   start n12
+	`
+	if err := f.all(func(s *rig.Swarm) error { return s.Run(script) }); err != nil {
+		return err
+	}
+	loads.Wait()
+	p.atMost("death.known.max", known(on, "n12", "went", from, still), 6)
+	worst := 0
+	for _, name := range still {
+		worst = max(worst, flapped(on, name, "n11", from+1, from+11))
+	}
+	p.atMost("versions.by.flapping", float64(worst), 4)
+	_, told := on.History.Lines("n10", "was born later", from)
+	p.atMost("named.twice.told", told-from-0.5, 5)
+	p.atMost("named.twice.resolved", known(on, "n10", "reborn", from, still)-0.5, 5)
+	slept := func(name string, t float64) bool {
+		return !slices.Contains([]string{"n11", "n12", "n10"}, name) && (name != "n9" || t > from+6)
+	}
+	anyOf := slices.Concat(still, []string{"n7", "n8", "n9"})
+	false1, lasting := buried(on, from, from+12, 3, anyOf, slept)
+	p.inform("false.deaths", float64(false1))
+	p.exactly("false.deaths.lasting", float64(lasting), 0)
+	p.atMost("back.after.all", p.untilAlike(on, 10*time.Second, n, slices.Concat(still, []string{"n7", "n8", "n9", "n10-twin", "n11", "n12"})), 10)
+	a, b := service(served[on], still), service(served[off], still)
+	p.inform("service.on", a)
+	p.atLeast("service.of.off", a/b, 0.98)
+
+	// All are replaced one after the other.
+	release := []string{}
+	for k := range 9 {
+		release = append(release, fmt.Sprintf("%dms notice n%d", 900*k, k+1), fmt.Sprintf("%dms replace n%d r%d", 900*k+700, k+1, k+1))
+	}
+	if !p.brief {
+		if err := on.Run(strings.Join(release, "\n")); err != nil {
+			return err
+		}
+		fresh := []string{}
+		for k := range 9 {
+			fresh = append(fresh, fmt.Sprintf("r%d", k+1))
+		}
+		fresh = append(fresh, "n10-twin", "n11", "n12")
+		p.atMost("release.settled", p.untilAlike(on, 10*time.Second, n, fresh), 6)
+		// The whole fleet at once.
+		again := []string{}
+		for _, name := range fresh {
+			again = append(again, "0s kill "+name)
+		}
+		for _, name := range fresh {
+			again = append(again, "100ms start "+name)
+		}
+		if err := on.Run(strings.Join(again, "\n")); err != nil {
+			return err
+		}
+		p.atMost("restart.of.all", p.untilAlike(on, 12*time.Second, n, fresh), 10)
+		rest = fresh
+	}
+	_ = rest
+	p.exactly("views.differ.at.end", differ(on), 0)
+	p.breaches(on, off)
+	return p.keep(on)
+}
+
+// flapped counts the views that differ by what became of one member.
+func flapped(s *rig.Swarm, viewer, name string, from, to float64) int {
+	n := 0
+	for _, sight := range s.History.Sights(viewer, from) {
+		if sight.T < to && slices.ContainsFunc(sight.Changes, func(c string) bool { return strings.HasPrefix(c, name+" ") }) {
+			n++
+		}
+	}
+	return n
+}
+
+// differ counts the processes that run and do not see what most see.
+func differ(s *rig.Swarm) float64 {
+	seen := map[string]int{}
+	total, most := 0, 0
+	for _, name := range s.Running() {
+		sight, ok := s.History.Latest(name)
+		if !ok || sight.Sure == "withdrawn" {
+			continue
+		}
+		total++
+		seen[sight.Digest]++
+		most = max(most, seen[sight.Digest])
+	}
+	return float64(total - most)
+}
+
+// playViewFaults is the rehearsal of the view between faults of the network, beside the gossip library alone.
+func playViewFaults(p *play) error {
+	const n = 12
+	f := &flock{p: p}
+	defer f.close()
+	var on, bare *rig.Swarm
+	var group sync.WaitGroup
+	var errOn, errBare error
+	group.Go(func() { on, errOn = rig.NewSwarm(p.plan(n)) })
+	group.Go(func() { bare, errBare = rig.NewSwarm(p.bare(n)) })
+	group.Wait()
+	for _, s := range []*rig.Swarm{on, bare} {
+		if s != nil {
+			f.swarms = append(f.swarms, s)
+		}
+	}
+	if err := errors.Join(errOn, errBare); err != nil {
+		return err
+	}
+	all := names(n)
+	p.atMost("joined.all", p.untilAlike(on, 15*time.Second, n, all), 10)
+	p.inform("joined.all.bare", p.untilAlike(bare, 15*time.Second, n, all))
+
+	// Loss and jitter, and one that is starved meanwhile.
+	loadOver := make(chan struct{})
+	var out map[string]rig.Outcome
+	length := p.span(30 * time.Second)
+	go func() {
+		defer close(loadOver)
+		out = p.load(on, length, 15, all)
+	}()
+	from := on.History.Now()
+	if err := f.all(func(s *rig.Swarm) error {
+		return s.Run("0s loss *>* 10%\n0s delay *>* 25ms 25ms\n0s double *>* 5%\n0s starve n3 10%\n6s feed n3\n6s heal")
+	}); err != nil {
+		return err
+	}
+	false1, lasting := buried(on, from, from+6, 3, all, func(string, float64) bool { return true })
+	p.inform("false.deaths", float64(false1))
+	p.exactly("false.deaths.lasting", float64(lasting), 0)
+	p.untilAlike(on, 4*time.Second, n, all)
+
+	// Cut in two, and back. Four see eight die.
+	small, large := all[:4], all[4:]
+	cut := "0s split " + strings.Join(small, ",") + "|" + strings.Join(large, ",")
+	from = on.History.Now()
+	if err := f.all(func(s *rig.Swarm) error { return s.Run(cut) }); err != nil {
+		return err
+	}
+	var settledSmall, settledLarge float64
+	group.Go(func() { settledSmall = p.untilAlike(on, 9*time.Second, 4, small) })
+	group.Go(func() { settledLarge = p.untilAlike(on, 9*time.Second, 8, large) })
+	group.Wait()
+	p.atMost("settled.after.cut.small", settledSmall, 6)
+	p.atMost("settled.after.cut.large", settledLarge, 6)
+	narrow := 0.0
+	for _, name := range small {
+		at := math.Inf(1)
+		for _, sight := range on.History.Sights(name, from) {
+			if sight.Sure == "narrow" {
+				at = sight.T - from
+				break
+			}
+		}
+		narrow = max(narrow, at)
+	}
+	p.atMost("narrow.said", narrow, 6)
+	bareCut, _ := bare.Until(10*time.Second, func() bool {
+		return bare.History.Alike(4, small...) && bare.History.Alike(8, large...)
+	})
+	p.inform("settled.after.cut.bare", bareCut)
+	if err := f.all(func(s *rig.Swarm) error { return s.Run("0s heal") }); err != nil {
+		return err
+	}
+	p.atMost("rejoined.max", p.untilAlike(on, 12*time.Second, n, all), 10)
+	_, back := bare.Until(3*time.Second, func() bool { return bare.History.Alike(n, all...) })
+	p.exactly("rejoined.bare", float64(count(back)), 0)
+
+	// One way only, then in three.
+	from = on.History.Now()
+	if err := on.Run("0s cut n1>n2,n3,n4\n4s heal"); err != nil {
+		return err
+	}
+	_, lasting = buried(on, from, from+4, 3, all, func(string, float64) bool { return true })
+	p.exactly("one.way.deaths.lasting", float64(lasting), 0)
+	if !p.brief {
+		if err := on.Run("0s split n1,n2,n3,n4|n5,n6,n7,n8|n9,n10,n11,n12\n6s heal"); err != nil {
+			return err
+		}
+		p.atMost("rejoined.of.three", p.untilAlike(on, 12*time.Second, n, all), 10)
+	}
+	<-loadOver
+	p.inform("service", service(out, all))
+	p.exactly("views.differ.at.end", differ(on), 0)
+	p.breaches(on)
+	return p.keep(on)
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
--- a/cmd/valveglade/main.go
+++ b/cmd/valveglade/main.go
@@ -41,6 +41,7 @@
 			RunE: func(cmd *cobra.Command, _ []string) error { return check(cmd, bylaws) }},
 		&cobra.Command{Use: "sample", Short: "write an operators' file with every directive", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { charter.Sample(cmd.OutOrStdout()) }},
+		fleetCommand(&bylaws),
 		&cobra.Command{Use: "version", Short: "say which build this is", Args: cobra.NoArgs,
 			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), version()) }})
 	return root
--- /dev/null
+++ b/logic/view/sure.go
@@ -0,0 +1,135 @@
+package view
+
+import (
+	"math"
+	"slices"
+)
+
+// refresh makes a new view of what has come about, if anything has, and judges how sure it is.
+func (m *Machine) refresh(now float64, changes []Change) {
+	fresh := m.dirty && m.gather()
+	m.dirty = false
+	d := m.digest
+	if fresh {
+		d = digest(m.members)
+	}
+	switch {
+	case d != m.digest || m.published == nil:
+		m.digest, m.changed = d, now
+		m.version = max(m.version, m.highest) + 1
+	case m.highest > m.version && m.agreed():
+		// Members that see the same count on from the highest version among them.
+		m.version, fresh = m.highest, true
+	}
+	for _, c := range changes {
+		if c.What == "went" {
+			delete(m.echoes, c.Name)
+		}
+	}
+	sure := m.judge(now)
+	if !fresh && m.published != nil && sure == m.published.Sure {
+		return
+	}
+	v := &View{Version: m.version, Digest: m.digest, Sure: sure, Members: m.members, Changes: changes}
+	if sure == Narrow {
+		v.Healthy = m.healthy
+	}
+	m.published = v
+	m.order(Order{Kind: Publish, View: v})
+}
+
+// agreed tells whether somebody is known to see the same.
+func (m *Machine) agreed() bool {
+	for _, e := range m.echoes {
+		if e.digest == m.digest {
+			return true
+		}
+	}
+	return false
+}
+
+// gather lists the members as they are to be shown; it tells whether anything is new.
+func (m *Machine) gather() bool {
+	all := make([]Entry, 1, len(m.records)+1)
+	all[0] = m.self
+	for _, r := range m.records {
+		if r.visible {
+			e := r.shown
+			e.Load, e.Fails = r.latest.Load, r.fails >= failing
+			all = append(all, e)
+		}
+	}
+	slices.SortFunc(all, byName)
+	if slices.Equal(all, m.members) {
+		return false
+	}
+	m.members = all
+	return true
+}
+
+// judge says how sure the view is, and keeps what a healthy one was.
+func (m *Machine) judge(now float64) Certainty {
+	m.widen(now)
+	settled := m.quiet(now)
+	switch {
+	case !settled:
+		m.settledAt = math.Inf(1)
+	case math.IsInf(m.settledAt, 1):
+		m.settledAt = now
+	}
+	// What has grown is healthy at once, what has shrunk only when it has stood: the members of one cut are not all found
+	// dead at one time, and each step of a slow finding would count as the new measure otherwise.
+	if !m.narrow && (len(m.members) >= len(m.healthy) || now-m.settledAt >= m.terms.Stand) {
+		m.healthy = m.members
+	}
+	switch {
+	case m.withdrawn:
+		return Withdrawn
+	case m.narrow:
+		return Narrow
+	case len(m.members) == 1:
+		return Alone
+	case !settled:
+		return Unsettled
+	}
+	return Settled
+}
+
+// quiet tells whether nothing is under way, here or with those who were asked last.
+func (m *Machine) quiet(now float64) bool {
+	if now-m.changed < m.terms.Settle || !m.Accuses(now) {
+		return false
+	}
+	for _, r := range m.records {
+		// One that flaps does not keep the others waiting: whether they see it alike, their digests tell.
+		if penalty(r, now) < allowed && (r.phase == coming || r.phase == fading || r.phase == present && !r.latest.alike(r.shown)) {
+			return false
+		}
+	}
+	for _, e := range m.echoes {
+		// What was said before our own last change, or long ago, says nothing of now.
+		if e.at > m.changed+m.terms.Batch && now-e.at < 3*m.terms.Settle && e.digest != m.digest && m.terms.has(Agreeing) {
+			return false
+		}
+	}
+	return true
+}
+
+// widen compares with the last healthy view. Those that have left by their own word are no loss.
+func (m *Machine) widen(now float64) {
+	kept := m.healthy[:0:0]
+	for _, e := range m.healthy {
+		if r := m.records[e.Name]; r == nil || r.phase != departed {
+			kept = append(kept, e)
+		}
+	}
+	m.healthy = kept
+	narrow := 2*len(m.members) < len(m.healthy) && m.terms.has(Narrowing)
+	if narrow && !m.narrow {
+		m.narrowFrom = now
+	}
+	if narrow && now-m.narrowFrom >= m.terms.Forget {
+		m.healthy, narrow = m.members, false // that is the fleet now
+	}
+	m.narrow = narrow
+}
--- /dev/null
+++ b/member/show.go
@@ -0,0 +1,155 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// Shown is what a member tells on its local socket, as one JSON object.
+type Shown struct {
+	Name    string           `json:"name"`
+	Version uint64           `json:"version"`
+	Digest  string           `json:"digest"`
+	Sure    string           `json:"sure"`
+	Members []ShownMember    `json:"members"`
+	Healthy []string         `json:"healthy,omitempty"` // names of the last healthy view, while this one is narrow
+	Packets [2]int64         `json:"packets"`           // sent, got
+	Bytes   [2]int64         `json:"bytes"`             // sent, got, without streams
+	Dropped map[string]int64 `json:"dropped,omitempty"`
+}
+
+// ShownMember is one line of it.
+type ShownMember struct {
+	Name    string `json:"name"`
+	Birth   uint64 `json:"birth"` // milliseconds of Unix time
+	Nonce   string `json:"nonce"`
+	Address string `json:"address"`
+	Zone    string `json:"zone,omitempty"`
+	State   string `json:"state"`
+	Ill     bool   `json:"ill,omitempty"`
+	Fails   bool   `json:"fails,omitempty"`
+	Proto   uint8  `json:"proto"`
+	Open    uint8  `json:"open"`
+	Credit  uint8  `json:"credit"`
+	Level   uint8  `json:"level"`
+}
+
+// Shown is the view in force and what it cost, for operators.
+func (m *Member) Shown() Shown {
+	v, c := m.View(), m.Cost()
+	s := Shown{Name: m.papers.Name, Version: v.Version, Digest: digestText(v.Digest), Sure: v.Sure.String(),
+		Packets: [2]int64{c.SentPackets, c.GotPackets}, Bytes: [2]int64{c.SentBytes, c.GotBytes}, Dropped: c.Dropped}
+	for _, e := range v.Members {
+		s.Members = append(s.Members, ShownMember{e.Name, e.Life.Birth, fmt.Sprintf("%08x", e.Life.Nonce), e.Address, e.Zone,
+			e.State.String(), e.Ill, e.Fails, e.Proto, e.Load.Open, e.Load.Credit, e.Load.Level})
+	}
+	for _, e := range v.Healthy {
+		s.Healthy = append(s.Healthy, e.Name)
+	}
+	return s
+}
+
+// show tells the view to whoever on this machine connects to the local socket.
+func (m *Member) show(ctx context.Context) error {
+	path := m.papers.Socket
+	if nc, err := net.DialTimeout("unix", path, 100*time.Millisecond); err == nil {
+		nc.Close()
+		m.log.Error("fleet: the local socket belongs to a process that runs") // it tells its own view; ours goes on
+		return nil
+	}
+	if at, err := os.Lstat(path); err == nil && at.Mode()&os.ModeSocket != 0 {
+		os.Remove(path) // of one that has ended
+	}
+	listener, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err == nil {
+		err = os.Chmod(path, 0o600)
+	}
+	if err != nil {
+		m.log.Error("fleet: no local socket", zap.Error(err))
+		return nil
+	}
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	for {
+		nc, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			time.Sleep(20 * time.Millisecond)
+			continue
+		}
+		nc.SetDeadline(time.Now().Add(time.Second))
+		json.NewEncoder(nc).Encode(m.Shown())
+		nc.Close()
+	}
+}
+
+// Ask reads what the member behind a local socket tells.
+func Ask(path string) (Shown, error) {
+	nc, err := net.DialTimeout("unix", path, time.Second)
+	if err != nil {
+		return Shown{}, err
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(2 * time.Second))
+	var s Shown
+	return s, json.NewDecoder(io.LimitReader(nc, 4<<20)).Decode(&s)
+}
+
+// Table writes it for people.
+func (s Shown) Table(to io.Writer) {
+	fmt.Fprintf(to, "view %d of %s, %s: %d members, digest %s\n", s.Version, s.Name, s.Sure, len(s.Members), s.Digest)
+	if gone := s.gone(); gone != nil {
+		fmt.Fprintf(to, "missing of the last healthy view: %s\n", strings.Join(gone, " "))
+	}
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NAME\tSTATE\tZONE\tADDRESS\tBORN\tLOAD\tREMARKS")
+	for _, e := range s.Members {
+		var remarks []string
+		if e.Name == s.Name {
+			remarks = append(remarks, "this one")
+		}
+		if e.Ill {
+			remarks = append(remarks, "work hangs")
+		}
+		if e.Fails {
+			remarks = append(remarks, "does not answer us")
+		}
+		if e.Proto != protoSpoken {
+			remarks = append(remarks, fmt.Sprintf("protocol %d", e.Proto))
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%d/%d/%d\t%s\n", e.Name, e.State, e.Zone, e.Address,
+			time.UnixMilli(int64(e.Birth)).UTC().Format(time.DateTime), e.Open, e.Credit, e.Level, strings.Join(remarks, ", "))
+	}
+	t.Flush()
+	fmt.Fprintf(to, "packets %d sent, %d got; bytes %d sent, %d got", s.Packets[0], s.Packets[1], s.Bytes[0], s.Bytes[1])
+	for _, cause := range causeNames {
+		if n := s.Dropped[cause]; n > 0 {
+			fmt.Fprintf(to, "; %d dropped: %s", n, cause)
+		}
+	}
+	fmt.Fprintln(to)
+}
+
+// gone names who of the last healthy view is missing.
+func (s Shown) gone() []string {
+	var all []string
+	for _, name := range s.Healthy {
+		if !slices.ContainsFunc(s.Members, func(e ShownMember) bool { return e.Name == name }) {
+			all = append(all, name)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/member/wire.go
@@ -0,0 +1,387 @@
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+	"go.uber.org/zap"
+
+	"valveglade/logic/view"
+)
+
+// wire is the sockets of one member: packets and streams at one address. It outlives the gossip above it, which may be
+// begun anew; whatever comes from where nobody is allowed to be, or is not ours, ends here.
+type wire struct {
+	listen netip.AddrPort
+	allow  []netip.Prefix
+	udp    *net.UDPConn
+	tcp    *net.TCPListener
+	log    *zap.Logger
+	heard  func(view.Event)                     // of what is ours and not gossip's
+	answer func(name string) (view.Entry, bool) // to a knock
+
+	transport atomic.Pointer[transport] // the one in force
+	beaten    atomic.Int64              // when the member's loop last came round, nanoseconds since epoch
+	accuses   atomic.Bool
+	lag, wake time.Duration
+
+	counts  [causes]atomic.Int64
+	sent    traffic
+	got     traffic
+	streams chan struct{} // places for connections that are being read
+
+	mu   sync.Mutex
+	told map[cause]time.Time
+}
+
+// traffic counts packets and bytes of their payload, streams' bytes among them.
+type traffic struct{ packets, bytes atomic.Int64 }
+
+// cause is why something that came was dropped.
+type cause uint8
+
+const (
+	outside    cause = iota // from an address that is not allowed
+	foreign                 // of another protocol
+	unreadable              // cut short or spoilt
+	lying                   // says what cannot be true
+	crowded                 // more at one time than is read
+	causes
+)
+
+var causeNames = [causes]string{"outside", "foreign", "unreadable", "lying", "crowded"}
+
+// mostStreams is how many connections are read at one time: an exchange may take a megabyte.
+const mostStreams = 16
+
+// epoch makes times of the monotonic clock small numbers.
+var epoch = time.Now()
+
+func openWire(listen netip.AddrPort, allow []netip.Prefix, log *zap.Logger) (*wire, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(listen))
+	if err != nil {
+		return nil, fmt.Errorf("fleet packets: %w", err)
+	}
+	at := udp.LocalAddr().(*net.UDPAddr).AddrPort() // with the port, where none was set
+	at = netip.AddrPortFrom(at.Addr().Unmap(), at.Port())
+	tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(at))
+	if err != nil {
+		udp.Close()
+		return nil, fmt.Errorf("fleet streams: %w", err)
+	}
+	w := &wire{listen: at, allow: allow, udp: udp, tcp: tcp, log: log, told: map[cause]time.Time{},
+		streams: make(chan struct{}, mostStreams), heard: func(view.Event) {}}
+	w.beat()
+	return w, nil
+}
+
+// beat takes note that the member's loop has come round.
+func (w *wire) beat() { w.beaten.Store(int64(time.Since(epoch))) }
+
+// late is how long ago that was.
+func (w *wire) late() time.Duration { return time.Since(epoch) - time.Duration(w.beaten.Load()) }
+
+func (w *wire) allowed(ip netip.Addr) bool {
+	for _, p := range w.allow {
+		if p.Contains(ip) {
+			return true
+		}
+	}
+	return false
+}
+
+// tell counts what was dropped, and says so once a second for each cause.
+func (w *wire) tell(c cause, from string, err error) {
+	w.counts[c].Add(1)
+	now := time.Now()
+	w.mu.Lock()
+	quiet := now.Sub(w.told[c]) < time.Second
+	if !quiet {
+		w.told[c] = now
+	}
+	w.mu.Unlock()
+	if !quiet {
+		w.log.Warn("fleet packet dropped", zap.String("cause", causeNames[c]), zap.String("from", from), zap.Error(err),
+			zap.Int64("so_far", w.counts[c].Load()))
+	}
+}
+
+// packets reads until the socket is closed.
+func (w *wire) packets() error {
+	b := make([]byte, 64<<10)
+	for {
+		n, from, err := w.udp.ReadFromUDPAddrPort(b)
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			continue // an earlier packet was refused at its end; that says nothing of the socket
+		}
+		w.got.packets.Add(1)
+		w.got.bytes.Add(int64(n))
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		if !w.allowed(from.Addr()) {
+			w.tell(outside, from.String(), nil)
+			continue
+		}
+		kind, payload, err := open(b[:n])
+		switch {
+		case err == errForeign:
+			w.tell(foreign, from.String(), err)
+		case err != nil:
+			w.tell(unreadable, from.String(), err)
+		case kind == kindTeach:
+			if e, ok := readTeach(payload); ok {
+				w.heard(view.Event{Kind: view.Outlived, Entry: e})
+			} else {
+				w.tell(unreadable, from.String(), errCut)
+			}
+		case kind == kindGossip:
+			w.gossip(payload, from)
+		default:
+			w.tell(foreign, from.String(), fmt.Errorf("a packet of kind %q", kind))
+		}
+	}
+}
+
+// gossip passes a packet on to the library.
+func (w *wire) gossip(payload []byte, from netip.AddrPort) {
+	kept, err := w.incoming(payload)
+	switch {
+	case errors.Is(err, errCut), errors.Is(err, errSpoilt), errors.Is(err, errForeign):
+		w.tell(unreadable, from.String(), err)
+	case err != nil:
+		w.tell(lying, from.String(), err)
+	}
+	t := w.transport.Load()
+	if kept == nil || t == nil || w.late() > w.wake { // what came while this process slept is not worth believing
+		return
+	}
+	select {
+	case t.packets <- &memberlist.Packet{Buf: append([]byte(nil), kept...), From: net.UDPAddrFromAddrPort(from),
+		Timestamp: time.Now()}:
+	default:
+		w.tell(crowded, from.String(), nil)
+	}
+}
+
+// send puts one packet out.
+func (w *wire) send(kind byte, payload []byte, to netip.AddrPort) error {
+	b := seal(make([]byte, 0, packetHead+len(payload)), kind, payload)
+	w.sent.packets.Add(1)
+	w.sent.bytes.Add(int64(len(b)))
+	_, err := w.udp.WriteToUDPAddrPort(b, to)
+	return err
+}
+
+// headWait is how long a connection may take to say what it is for.
+const headWait = time.Second
+
+// accept takes connections until the listener is closed.
+func (w *wire) accept() error {
+	for {
+		nc, err := w.tcp.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			time.Sleep(20 * time.Millisecond) // no descriptor, mostly
+			continue
+		}
+		from, _ := netip.ParseAddrPort(nc.RemoteAddr().String())
+		if !w.allowed(from.Addr().Unmap()) {
+			w.tell(outside, from.String(), nil)
+			nc.Close()
+			continue
+		}
+		select {
+		case w.streams <- struct{}{}:
+			go w.greet(nc)
+		default:
+			w.tell(crowded, from.String(), nil)
+			nc.Close()
+		}
+	}
+}
+
+// greet reads what a connection is for.
+func (w *wire) greet(nc net.Conn) {
+	defer func() { <-w.streams }()
+	nc.SetDeadline(time.Now().Add(headWait))
+	head := make([]byte, streamHead)
+	for n := 0; n < len(head); {
+		k, err := nc.Read(head[n:])
+		if err != nil {
+			nc.Close()
+			return
+		}
+		n += k
+	}
+	t := w.transport.Load()
+	switch {
+	case string(head[:len(magic)]) != magic:
+		w.tell(foreign, nc.RemoteAddr().String(), errForeign)
+		nc.Close()
+	case head[len(magic)] == kindKnock:
+		w.knocked(nc)
+		nc.Close()
+	case head[len(magic)] == kindGossip && t != nil:
+		nc.SetDeadline(time.Time{})
+		select {
+		case t.streams <- newStream(nc, w):
+		case <-t.done:
+			nc.Close()
+		case <-time.After(headWait):
+			nc.Close()
+		}
+	default:
+		nc.Close()
+	}
+}
+
+// knocked answers who is here.
+func (w *wire) knocked(nc net.Conn) {
+	var size [1]byte
+	if _, err := nc.Read(size[:]); err != nil {
+		return
+	}
+	name := make([]byte, size[0])
+	for n := 0; n < len(name); {
+		k, err := nc.Read(name[n:])
+		if err != nil {
+			return
+		}
+		n += k
+	}
+	if e, ok := w.answer(string(name)); ok {
+		nc.Write(appendEntry(nil, e))
+	}
+}
+
+// dial opens a stream from our own address, so that the other end knows who speaks.
+func (w *wire) dial(ctx context.Context, address string, kind byte) (net.Conn, error) {
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: w.listen.Addr().AsSlice()}}
+	if w.listen.Addr().IsUnspecified() {
+		d.LocalAddr = nil
+	}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if due, ok := ctx.Deadline(); ok {
+		nc.SetDeadline(due)
+	}
+	if _, err := nc.Write(append([]byte(magic), kind)); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return nc, nil
+}
+
+// knock asks whoever is at an address whether it is that member; it gives what it says of itself.
+func (w *wire) knock(ctx context.Context, address, name string) (view.Entry, error) {
+	nc, err := w.dial(ctx, address, kindKnock)
+	if err != nil {
+		return view.Entry{}, err
+	}
+	defer nc.Close()
+	if _, err := nc.Write(appendText(nil, name)); err != nil {
+		return view.Entry{}, err
+	}
+	b := make([]byte, 512)
+	n := 0
+	for n < len(b) {
+		k, err := nc.Read(b[n:])
+		n += k
+		if err != nil {
+			break
+		}
+	}
+	e, err := readEntry(b[:n])
+	if err == nil && e.Name != name {
+		err = fmt.Errorf("%s answers there", e.Name)
+	}
+	return e, err
+}
+
+func (w *wire) close() {
+	w.udp.Close()
+	w.tcp.Close()
+}
+
+// transport is what the gossip library sends and receives through, until it is begun anew.
+type transport struct {
+	*wire
+	advertise netip.AddrPort
+	packets   chan *memberlist.Packet
+	streams   chan net.Conn
+	done      chan struct{}
+	once      sync.Once
+}
+
+func (w *wire) newTransport(advertise netip.AddrPort) *transport {
+	return &transport{wire: w, advertise: advertise, packets: make(chan *memberlist.Packet, 512), streams: make(chan net.Conn),
+		done: make(chan struct{})}
+}
+
+// FinalAdvertiseAddr gives the address that others are told.
+func (t *transport) FinalAdvertiseAddr(string, int) (net.IP, int, error) {
+	return t.advertise.Addr().AsSlice(), int(t.advertise.Port()), nil
+}
+
+// over tells whether this transport is to be silent: another is in force, or the process has only just woken.
+func (t *transport) over() bool { return t.wire.transport.Load() != t || t.late() > t.wake }
+
+// WriteTo sends a packet, without its accusations while this process is late itself.
+func (t *transport) WriteTo(b []byte, address string) (time.Time, error) {
+	now := time.Now()
+	if t.over() {
+		return now, nil
+	}
+	if !t.accuses.Load() || t.late() > t.lag {
+		if b = outgoing(b); b == nil {
+			return now, nil
+		}
+	}
+	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return now, err
+	}
+	return now, t.send(kindGossip, b, to)
+}
+
+// PacketCh is where packets come in.
+func (t *transport) PacketCh() <-chan *memberlist.Packet { return t.packets }
+
+var errOver = errors.New("gossip has been begun anew")
+
+// DialTimeout opens a stream.
+func (t *transport) DialTimeout(address string, within time.Duration) (net.Conn, error) {
+	if t.over() {
+		return nil, errOver
+	}
+	ctx, end := context.WithTimeout(context.Background(), within)
+	defer end()
+	nc, err := t.dial(ctx, address, kindGossip)
+	if err != nil {
+		return nil, err
+	}
+	nc.SetDeadline(time.Time{})
+	return newStream(nc, t.wire), nil
+}
+
+// StreamCh is where streams come in.
+func (t *transport) StreamCh() <-chan net.Conn { return t.streams }
+
+// Shutdown ends it; the sockets stay.
+func (t *transport) Shutdown() error {
+	t.once.Do(func() { close(t.done) })
+	return nil
+}
--- /dev/null
+++ b/rig/history.go
@@ -0,0 +1,161 @@
+package rig
+
+import (
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"time"
+)
+
+// History is all that was said and done in a run, in the order in which it came: the lines of every process, and the
+// faults in between.
+type History struct {
+	mu     sync.Mutex
+	began  time.Time
+	events []Event
+	latest map[string]Sight
+	each   func(Event) // told of each, if set before the start
+}
+
+// Event is one line of it.
+type Event struct {
+	T    float64         `json:"t"` // seconds since the start
+	Who  string          `json:"who"`
+	Kind string          `json:"kind"` // log, fault, or a word of whoever plays
+	Text string          `json:"text,omitempty"`
+	Line json.RawMessage `json:"line,omitempty"`
+}
+
+// Sight is a view as a process's log tells it.
+type Sight struct {
+	T       float64 `json:"-"`
+	Who     string  `json:"-"`
+	Msg     string
+	Version uint64
+	Digest  string
+	Sure    string
+	Members int
+	Changes []string
+}
+
+// NewHistory begins one.
+func NewHistory() *History { return &History{began: time.Now(), latest: map[string]Sight{}} }
+
+// Now is the time since the start, in seconds.
+func (h *History) Now() float64 { return time.Since(h.began).Seconds() }
+
+// Add takes a word of whoever plays.
+func (h *History) Add(who, kind, text string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.add(Event{T: h.Now(), Who: who, Kind: kind, Text: text})
+}
+
+// Said takes a line of a process.
+func (h *History) Said(who string, line []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e := Event{T: h.Now(), Who: who, Kind: "log"}
+	if json.Valid(line) {
+		e.Line = append(json.RawMessage(nil), line...)
+	} else {
+		e.Text = string(line)
+	}
+	h.add(e)
+	if s, ok := e.Sight(); ok {
+		h.latest[who] = s
+	}
+}
+
+// mostEvents bounds what is kept of one run.
+const mostEvents = 200_000
+
+func (h *History) add(e Event) {
+	if len(h.events) < mostEvents {
+		h.events = append(h.events, e)
+	}
+	if h.each != nil {
+		h.each(e)
+	}
+}
+
+// Sight reads a view out of a line, if it tells one.
+func (e Event) Sight() (Sight, bool) {
+	s := Sight{T: e.T, Who: e.Who}
+	if e.Line == nil || json.Unmarshal(e.Line, &s) != nil || s.Msg != "view" {
+		return s, false
+	}
+	return s, true
+}
+
+// Latest is the view that a process told last.
+func (h *History) Latest(who string) (Sight, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s, ok := h.latest[who]
+	return s, ok
+}
+
+// Forget drops the view of a process that has ended.
+func (h *History) Forget(who string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.latest, who)
+}
+
+// Sights are the views of one process, or of all for an empty name, from a time on.
+func (h *History) Sights(who string, from float64) []Sight {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []Sight
+	for _, e := range h.events {
+		if e.T < from || who != "" && e.Who != who {
+			continue
+		}
+		if s, ok := e.Sight(); ok {
+			all = append(all, s)
+		}
+	}
+	return all
+}
+
+// Lines counts the lines of a process from a time on that have a text in them.
+func (h *History) Lines(who, text string, from float64) (n int, first float64) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, e := range h.events {
+		if e.T >= from && (who == "" || e.Who == who) && (strings.Contains(string(e.Line), text) || strings.Contains(e.Text, text)) {
+			if n++; n == 1 {
+				first = e.T
+			}
+		}
+	}
+	return n, first
+}
+
+// Write puts it out as JSON lines.
+func (h *History) Write(to io.Writer) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := json.NewEncoder(to)
+	for _, e := range h.events {
+		if err := out.Encode(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Alike tells whether all of these see the same n members; of how sure they are, none is asked.
+func (h *History) Alike(n int, who ...string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, name := range who {
+		s, ok := h.latest[name]
+		if !ok || s.Members != n || s.Digest != h.latest[who[0]].Digest {
+			return false
+		}
+	}
+	return true
+}
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -34,6 +34,7 @@
 	uid, id string
 	left    float64 // seconds of work
 	began   time.Time
+	stopped bool // it was asked to stop
 }
 
 // NewKernel listens on a free port.
@@ -67,6 +68,11 @@
 	defer k.mu.Unlock()
 	k.pass()
 	k.hung = hung
+	for _, r := range k.runs {
+		if r.stopped && !hung {
+			k.end(r, "broken_off", nil)
+		}
+	}
 	k.set()
 }
 
@@ -136,7 +142,9 @@
 		case "PREEMPT":
 			k.pass()
 			if r := k.runs[m.UID]; r != nil {
-				k.end(r, "broken_off", nil)
+				if r.stopped = true; !k.hung { // what hangs cannot be stopped either
+					k.end(r, "broken_off", nil)
+				}
 			}
 			k.set()
 		}
--- /dev/null
+++ b/rig/process.go
@@ -0,0 +1,217 @@
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one process that the rig has started, and what can be done to it. It ends with the rig, also when the rig is
+// killed.
+type Process struct {
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	log  bytes.Buffer
+	part []byte       // of a line that is not whole yet
+	tap  func([]byte) // told of each line that it says, if set before the start
+}
+
+// spawns are carried out by one thread that never ends: the system kills a child when the thread that started it ends, which
+// is how children end with a rig that was killed.
+var spawns = func() chan func() {
+	c := make(chan func())
+	go func() {
+		runtime.LockOSThread()
+		for f := range c {
+			f()
+		}
+	}()
+	return c
+}()
+
+// run starts a command; over is told of its end, in a goroutine of its own.
+func (p *Process) run(cmd *exec.Cmd, over func(error)) (done chan struct{}, err error) {
+	cmd.Stderr = saying{p}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	spawns <- func() { started <- cmd.Start() }
+	if err := <-started; err != nil {
+		return nil, err
+	}
+	done = make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	go func() {
+		over(cmd.Wait())
+		close(done)
+	}()
+	return done, nil
+}
+
+// saying keeps the last of what a process says.
+type saying struct{ *Process }
+
+func (p saying) Write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.log.Len() > 1<<20 {
+		p.log.Reset()
+	}
+	p.log.Write(b)
+	if p.tap != nil {
+		p.part = append(p.part, b...)
+		for {
+			k := bytes.IndexByte(p.part, '\n')
+			if k < 0 {
+				break
+			}
+			p.tap(p.part[:k])
+			p.part = p.part[k+1:]
+		}
+	}
+	return len(b), nil
+}
+
+// Log is the last of what it said.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Pause has the system stop the process, or let it go on.
+func (p *Process) Pause(paused bool) {
+	if paused {
+		p.signal(syscall.SIGSTOP)
+	} else {
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+func (p *Process) ended() chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+func (p *Process) wait() { <-p.ended() }
+
+// Pid is the process's id.
+func (p *Process) Pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// signal goes only to the process started here, as long as it has not ended.
+func (p *Process) signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.done:
+	default:
+		p.cmd.Process.Signal(s)
+	}
+}
+
+// Throttle has the process run for a part of each period only, as a quota on its processor time does, until stop is
+// called. It keeps time on a thread of its own with the system's sleep: this process's own collector and timers would
+// stretch the parts.
+func (p *Process) Throttle(run, period time.Duration) (stop func()) {
+	end, over := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(over)
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		defer p.Pause(false)
+		until := func(t time.Time) {
+			// Stopping a child sends signals to its parent, which end the sleep early.
+			for d := time.Until(t); d > 0; d = time.Until(t) {
+				ts := syscall.NsecToTimespec(int64(d))
+				syscall.Nanosleep(&ts, nil)
+			}
+		}
+		next := time.Now()
+		for {
+			select {
+			case <-end:
+				return
+			default:
+			}
+			p.Pause(false)
+			until(time.Now().Add(run)) // the part counts from when it began, however late that was
+			p.Pause(true)
+			next = next.Add(period)
+			if time.Until(next) < 0 {
+				next = time.Now().Add(period - run)
+			}
+			until(next)
+		}
+	}()
+	return sync.OnceFunc(func() { close(end); <-over })
+}
+
+// CPU is the processor time that the process has taken, finer than the system's clock ticks.
+func (p *Process) CPU() time.Duration {
+	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.Pid()))
+	all := time.Duration(0)
+	for _, f := range files {
+		if text, err := os.ReadFile(f); err == nil {
+			if words := strings.Fields(string(text)); len(words) > 0 {
+				ns, _ := strconv.ParseInt(words[0], 10, 64)
+				all += time.Duration(ns)
+			}
+		}
+	}
+	return all
+}
+
+// Running tells whether the process has not ended.
+func (p *Process) Running() bool {
+	select {
+	case <-p.ended():
+		return false
+	default:
+		return true
+	}
+}
+
+// Resident is the memory that the process takes, in bytes, 0 if that cannot be read.
+func (p *Process) Resident() int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.Pid()))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// started tells whether there ever was a process.
+func (p *Process) started() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil
+}
+
+// kill ends it outright and waits for its end.
+func (p *Process) kill() {
+	if p.started() {
+		p.signal(syscall.SIGKILL)
+		p.wait()
+	}
+}
--- /dev/null
+++ b/rig/swarm.go
@@ -0,0 +1,427 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Swarm is many processes of the real program that may talk to each other, with a path between each two, and what is done
+// to them by a script.
+type Swarm struct {
+	Check   *Checker
+	History *History
+	Paths   *Paths
+	plan    Plan
+	dir     string
+	roster  net.PacketConn
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+	order []string
+	slots int
+}
+
+// Plan is what a swarm is to be.
+type Plan struct {
+	Program string   // the program's binary
+	Names   []string // of the first processes
+	Site    Site
+	Laws    []string // further lines of each one's operators' file
+	Off     bool     // no fleet: the same processes, which do not talk
+	Zones   int      // how many zones they are spread over, 0 for none
+	Seeds   int      // how many addresses each is given to join; 3 if 0
+	DeadEnd int      // how many of the addresses given first belong to nobody
+	Slack   time.Duration
+	Seed    uint64
+	// Bare starts another program instead, with no kernel and no callers, and is given where it listens, what it tells
+	// others and whom to join.
+	Bare func(name, listen, advertise string, join []string) *exec.Cmd
+}
+
+// Node is one process of a swarm.
+type Node struct {
+	*Program
+	Net  *Net // for callers
+	slot int
+	bare *Process
+	feed func() // ends a starving
+}
+
+// callersPort is where each process takes RPCs, at its own address.
+const callersPort = 7000
+
+// process is what signals go to.
+func (n *Node) process() *Process {
+	if n.bare != nil {
+		return n.bare
+	}
+	return &n.Program.Process
+}
+
+// NewSwarm starts one; all processes are started together.
+func NewSwarm(plan Plan) (*Swarm, error) {
+	dir, err := os.MkdirTemp("", "swarm")
+	if err != nil {
+		return nil, err
+	}
+	s := &Swarm{Check: NewChecker(plan.Slack), History: NewHistory(), plan: plan, dir: dir, nodes: map[string]*Node{}}
+	if s.Paths, err = NewPaths(plan.Seed); err != nil {
+		return nil, err
+	}
+	if s.roster, err = net.ListenPacket("udp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	go func() {
+		for b := make([]byte, 256); ; {
+			if _, _, err := s.roster.ReadFrom(b); err != nil {
+				return
+			}
+		}
+	}()
+	s.slots = plan.DeadEnd
+	for _, name := range plan.Names {
+		if _, err := s.add(name, name, s.slot()); err != nil {
+			s.Close()
+			return nil, err
+		}
+	}
+	if err := s.each(plan.Names, func(n *Node) error { return s.start(n) }); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// each does something to some at the same time.
+func (s *Swarm) each(names []string, f func(*Node) error) error {
+	errs := make([]error, len(names))
+	var all sync.WaitGroup
+	for k, name := range names {
+		all.Go(func() { errs[k] = f(s.Node(name)) })
+	}
+	all.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Node is the process of that name in the rig, nil if there is none.
+func (s *Swarm) Node(name string) *Node {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.nodes[name]
+}
+
+// Names are all processes so far, in the order in which they were added.
+func (s *Swarm) Names() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.order)
+}
+
+// Running are those that have not ended.
+func (s *Swarm) Running() []string {
+	return slices.DeleteFunc(s.Names(), func(name string) bool { return !s.Node(name).process().Running() })
+}
+
+// seeds are the addresses that a process is given: the first slots, of which some may belong to nobody.
+func (s *Swarm) seeds() []string {
+	n := s.plan.Seeds
+	if n == 0 {
+		n = 3
+	}
+	var all []string
+	for k := range n + s.plan.DeadEnd {
+		all = append(all, s.Paths.Via(k+1).String())
+	}
+	return all
+}
+
+// slot is the next address that nobody has had.
+func (s *Swarm) slot() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slots++
+	return s.slots
+}
+
+// add makes a process that calls itself called, at an address, and does not start it.
+func (s *Swarm) add(name, called string, slot int) (*Node, error) {
+	if err := s.Paths.Add(slot); err != nil {
+		return nil, err
+	}
+	n := &Node{slot: slot}
+	own, via := s.Paths.Own(slot), s.Paths.Via(slot)
+	if s.plan.Bare != nil {
+		n.Program = &Program{Name: name, called: called, check: s.Check}
+		n.bare = &Process{tap: func(line []byte) { s.History.Said(name, line) }}
+	} else {
+		kernel, err := NewKernel(name, s.plan.Site.Cores, s.Check)
+		if err != nil {
+			return nil, err
+		}
+		// At its own address no other process can have taken the port meanwhile.
+		address := netip.AddrPortFrom(own.Addr(), callersPort).String()
+		n.Program = &Program{Name: name, Address: address, Kernel: kernel, site: s.plan.Site, bin: s.plan.Program, dir: s.dir,
+			roster: s.roster.LocalAddr().String(), check: s.Check, called: called}
+		n.Program.tap = func(line []byte) { s.History.Said(name, line) }
+		if n.Net, err = NewNet(name, address, s.Check); err != nil {
+			return nil, err
+		}
+		var laws []string
+		if !s.plan.Off {
+			laws = append(laws, "fleet.listen "+own.String(), "fleet.advertise "+via.String(),
+				"fleet.join "+strings.Join(s.seeds(), " "), "fleet.allow "+s.Paths.Network().String(), "fleet.socket "+s.Socket(name))
+			if s.plan.Zones > 0 {
+				laws = append(laws, fmt.Sprintf("fleet.zone z%d", 1+slot%s.plan.Zones))
+			}
+			laws = append(laws, s.plan.Laws...)
+		}
+		path := filepath.Join(s.dir, name+".conf")
+		if err := os.WriteFile(path, []byte(strings.Join(laws, "\n")+"\n"), 0o600); err != nil {
+			return nil, err
+		}
+		n.Program.args = []string{"--settings", path}
+	}
+	s.mu.Lock()
+	s.nodes[name] = n
+	s.order = append(s.order, name)
+	s.mu.Unlock()
+	return n, nil
+}
+
+// Socket is the local socket of a process.
+func (s *Swarm) Socket(name string) string { return filepath.Join(s.dir, name+".sock") }
+
+func (s *Swarm) start(n *Node) error {
+	if n.bare == nil {
+		return n.Program.Start()
+	}
+	cmd := s.plan.Bare(n.called, s.Paths.Own(n.slot).String(), s.Paths.Via(n.slot).String(), s.seeds())
+	_, err := n.bare.run(cmd, func(error) {})
+	return err
+}
+
+func (s *Swarm) kill(n *Node) {
+	if n.feed != nil {
+		n.feed()
+		n.feed = nil
+	}
+	if n.bare != nil {
+		n.bare.kill()
+	} else {
+		n.Program.Kill()
+	}
+	s.History.Forget(n.Name)
+}
+
+// Addresses is where callers reach some of them.
+func (s *Swarm) Addresses(names ...string) []string {
+	var all []string
+	for _, name := range names {
+		all = append(all, s.Node(name).Net.Address())
+	}
+	return all
+}
+
+// Play does what a script says, at its times, counted from now; it returns once all is done.
+func (s *Swarm) Play(ctx context.Context, script Script) error {
+	begin := time.Now()
+	for _, f := range script {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(time.Until(begin.Add(f.At))):
+		}
+		if err := s.Do(f); err != nil {
+			return fmt.Errorf("%s: %w", f, err)
+		}
+	}
+	return nil
+}
+
+// Run plays a script that is written out.
+func (s *Swarm) Run(text string) error {
+	script, err := ParseScript(text)
+	if err != nil {
+		return err
+	}
+	return s.Play(context.Background(), script)
+}
+
+// Do does one thing now.
+func (s *Swarm) Do(f Fault) error {
+	s.History.Add("", "fault", strings.TrimPrefix(f.String(), f.At.String()+" "))
+	if f.Paths != nil {
+		return s.change(f)
+	}
+	if f.Verb == "heal" {
+		s.Paths.Heal()
+		return nil
+	}
+	n := s.Node(f.Who[0])
+	if n == nil {
+		return fmt.Errorf("no process is called %q", f.Who[0])
+	}
+	p := n.process()
+	switch f.Verb {
+	case "kill":
+		s.kill(n)
+	case "start":
+		return s.start(n)
+	case "restart":
+		s.kill(n)
+		return s.start(n)
+	case "stop":
+		s.Check.Paused(n.Name, true)
+		p.Pause(true)
+	case "cont":
+		p.Pause(false)
+		s.Check.Paused(n.Name, false)
+	case "starve":
+		period := 100 * time.Millisecond
+		n.feed = p.Throttle(time.Duration(f.Share*float64(period)), period)
+		s.Check.Paused(n.Name, true)
+	case "feed":
+		if n.feed != nil {
+			n.feed()
+			n.feed = nil
+		}
+		s.Check.Paused(n.Name, false)
+	case "hang", "unhang":
+		if n.bare == nil {
+			n.Kernel.Hang(f.Verb == "hang")
+		}
+	case "notice":
+		if n.bare == nil {
+			n.Notice()
+		}
+	case "replace":
+		s.kill(n)
+		fresh, err := s.add(f.Who[1], f.Who[1], n.slot)
+		if err != nil {
+			return err
+		}
+		return s.start(fresh)
+	case "twin":
+		twin, err := s.add(n.Name+"-twin", n.Name, s.slot())
+		if err != nil {
+			return err
+		}
+		return s.start(twin)
+	}
+	return nil
+}
+
+// change puts a fault on paths.
+func (s *Swarm) change(f Fault) error {
+	var groups [][]int
+	for _, names := range f.Paths {
+		var slots []int
+		if len(names) == 1 && names[0] == "*" {
+			names = s.Names()
+		}
+		for _, name := range names {
+			n := s.Node(name)
+			if n == nil {
+				return fmt.Errorf("no process is called %q", name)
+			}
+			slots = append(slots, n.slot)
+		}
+		groups = append(groups, slots)
+	}
+	on := func(from, to []int) {
+		for _, a := range from {
+			for _, b := range to {
+				if a != b {
+					s.Paths.Change(a, b, f.worsen)
+				}
+			}
+		}
+	}
+	if f.Verb != "split" {
+		on(groups[0], groups[1])
+		return nil
+	}
+	for j := range groups {
+		for k := range groups {
+			if j != k {
+				on(groups[j], groups[k])
+			}
+		}
+	}
+	return nil
+}
+
+// worsen is what a fault does to one path.
+func (f Fault) worsen(p *Path) {
+	switch f.Verb {
+	case "split", "cut":
+		p.Cut = true
+	case "loss":
+		p.Loss = f.Share
+	case "double":
+		p.Double = f.Share
+	case "delay":
+		p.Delay, p.Jitter = f.Mean, f.Most
+	case "mute":
+		p.Mute = f.Mean
+	case "rate":
+		p.Rate = f.Rate
+	}
+}
+
+// Until waits for something to hold, and gives how long that took, in seconds; false if it never did.
+func (s *Swarm) Until(within time.Duration, holds func() bool) (float64, bool) {
+	for begin := time.Now(); ; time.Sleep(20 * time.Millisecond) {
+		took := time.Since(begin)
+		if holds() {
+			return took.Seconds(), true
+		}
+		if took > within {
+			return took.Seconds(), false
+		}
+	}
+}
+
+// CPU is the processor time of one process so far.
+func (s *Swarm) CPU(name string) time.Duration { return s.Node(name).process().CPU() }
+
+// Close ends all of it.
+func (s *Swarm) Close() {
+	var all sync.WaitGroup
+	for _, name := range s.Names() {
+		n := s.Node(name)
+		if n.feed != nil {
+			n.feed()
+		}
+		all.Go(func() {
+			if n.bare != nil {
+				n.bare.kill()
+				return
+			}
+			if n.Program.started() {
+				n.Pause(false)
+				n.Stop()
+			}
+			n.Kernel.Close()
+			n.Net.Close()
+		})
+	}
+	all.Wait()
+	s.Paths.Close()
+	s.roster.Close()
+	os.RemoveAll(s.dir)
+}
--- /dev/null
+++ b/server/fleet.go
@@ -0,0 +1,102 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"valveglade/charter"
+	"valveglade/logic/view"
+	"valveglade/member"
+)
+
+// sayEvery is how often the app server looks whether there is something new to say of itself; a load that has moved is
+// said at most as often as loadEvery, since each word goes to every member.
+const sayEvery, loadEvery = 250 * time.Millisecond, 5 * time.Second
+
+// partBefore is how long before the stop a leaving app server says good-bye to the fleet: a good-bye takes half of it.
+const partBefore = 1.2
+
+// joinFleet makes this app server a member, where the operators have said so; nil otherwise.
+func (s *Server) joinFleet() (*member.Member, error) {
+	laws := s.fleetLaws
+	if !laws.On() {
+		return nil, nil
+	}
+	c := s.charter.Load()
+	if err := laws.Suits(c); err != nil {
+		return nil, err
+	}
+	terms := view.Defaults()
+	terms.Hold, terms.Forget = laws.Hold, laws.Forget
+	m, err := member.New(member.Papers{Name: c.Name, Zone: laws.Zone, Listen: laws.Listen, Advertise: laws.Advertise,
+		Join: laws.Join, Allow: laws.Allow, Probe: seconds(laws.Probe), Socket: laws.Socket, Terms: terms}, s.log)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	s.log.Info("fleet joined", zap.Stringer("listen", m.Address()), zap.Int("join", len(laws.Join)))
+	return m, nil
+}
+
+// takePart keeps the fleet told of this app server until it has left, and says good-bye in time.
+func (s *Server) takePart(ctx, all context.Context, m *member.Member) error {
+	part, end := context.WithCancel(all)
+	defer end()
+	s.group.Go(func() error { return m.Run(part) })
+	every := time.NewTicker(sayEvery)
+	defer every.Stop()
+	var load view.Load
+	loaded := time.Time{}
+	for {
+		if time.Since(loaded) >= loadEvery {
+			load, loaded = s.load(), time.Now()
+		}
+		state := s.stage()
+		m.Say(state, state == view.Serving && !s.healthy(), load)
+		select {
+		case <-all.Done():
+			return nil
+		case <-ctx.Done():
+			m.Say(view.Leaving, false, load)
+			sleep(all, s.charter.Load().Stop-partBefore)
+			return nil
+		case <-every.C:
+		}
+	}
+}
+
+// stage is how far the app server has come: at full strength once its kernel is up and has warmed.
+func (s *Server) stage() view.State {
+	if at := s.warmAt.Load(); at == 0 || clock() < float64(at)/1e9 {
+		return view.Cold
+	}
+	return view.Serving
+}
+
+// load is a digest of what it has to do.
+func (s *Server) load() view.Load {
+	open := 0
+	s.mu.Lock()
+	for c := range s.conns {
+		c.mu.Lock()
+		open += len(c.open)
+		c.mu.Unlock()
+	}
+	s.mu.Unlock()
+	return view.Load{Open: view.Band(open), Credit: view.Band(int(max(s.credit(), 0))), Level: uint8(s.press.level.Load())}
+}
+
+// adoptFleet tells whether the bylaws on the fleet are others than those in force; they stay until the next start.
+func (s *Server) adoptFleet(b *charter.Bylaws) (changed bool) {
+	if reflect.DeepEqual(b.Fleet, s.fleetRead) {
+		return false
+	}
+	s.fleetRead = b.Fleet
+	if !reflect.DeepEqual(b.Fleet, s.fleetLaws) {
+		s.log.Warn("bylaws changed in what stays until the next start", zap.Strings("directives", []string{"fleet.*"}))
+	}
+	return true
+}
--- a/server/press.go
+++ b/server/press.go
@@ -22,6 +22,7 @@
 type press struct {
 	on      atomic.Bool
 	effects atomic.Pointer[pressure.Effects]
+	level   atomic.Int32
 	admit   []atomic.Uint32 // share of each method that is let in, of whole
 	asked   []atomic.Uint64
 	ok      []atomic.Uint64
@@ -141,6 +142,7 @@
 		p.admit[k].Store(allOf)
 	}
 	p.effects.Store(&calm)
+	p.level.Store(int32(pressure.Calm))
 }
 
 // readSelf goes on until the bylaws are new or ctx ends.
@@ -190,6 +192,7 @@
 		}
 		effects := watch.Effects()
 		p.effects.Store(&effects)
+		p.level.Store(int32(watch.Level()))
 		s.applied(was, effects)
 		if changed {
 			s.tellPressure(watch, from, effects)
--- a/server/reload.go
+++ b/server/reload.go
@@ -37,6 +37,9 @@
 					changed = true
 					s.log.Info("bylaws taken over", zap.String("file", b.Path), zap.Bool("pressure", b.Pressure.On))
 				}
+				if b != nil && s.adoptFleet(b) {
+					changed = true
+				}
 			}
 			if !changed && !sleep(ctx, lookAtFile.Seconds()) {
 				return
--- a/server/server.go
+++ b/server/server.go
@@ -40,6 +40,10 @@
 
 	ownsProcess atomic.Bool // its memory limit is ours to set
 
+	fleetLaws charter.Fleet // in force from the start
+	fleetRead charter.Fleet // as last read; only Reload's goroutine has it
+	warmAt    atomic.Int64  // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
+
 	held  atomic.Int64 // bytes of RPCs whose answer is owed, about
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -68,7 +72,7 @@
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
-		press: newPress(c, b), signal: c.Rules.Machine.Signal}
+		press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
 	s.charter.Store(c)
 	s.read = c
 	for k, name := range c.Methods {
@@ -110,11 +114,19 @@
 // ServeOn is Serve on a listener of the embedder's, which it closes; the process's memory limit is left
 // alone.
 func (s *Server) ServeOn(ctx context.Context, listener *net.TCPListener) error {
+	fleet, err := s.joinFleet()
+	if err != nil {
+		listener.Close()
+		return err
+	}
 	live, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
 	var all context.Context
 	s.group, all = errgroup.WithContext(live)
 	s.group.Go(func() error { return s.accept(all, listener) })
+	if fleet != nil {
+		s.group.Go(func() error { return s.takePart(ctx, all, fleet) })
+	}
 	s.group.Go(func() error { return s.link.Serve(all) })
 	s.group.Go(func() error { return s.dispatch(all) })
 	s.group.Go(func() error { return s.beat(all) })
@@ -131,7 +143,7 @@
 		return s.leave(ctx, all, listener)
 	})
 	s.log.Info("serving", zap.Stringer("listen", listener.Addr()))
-	err := s.group.Wait()
+	err = s.group.Wait()
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
@@ -295,6 +307,11 @@
 // Booted is the kernel's first word.
 func (s *Server) Booted(ago float64, cold bool) {
 	s.log.Info("kernel up", zap.Float64("for_s", ago), zap.Bool("cold", cold))
+	warm := clock() - ago
+	if cold {
+		warm += s.charter.Load().Rules.Rules.WarmIn
+	}
+	s.warmAt.Store(int64(warm * 1e9))
 	s.gate.Boot(clock()-ago, cold)
 }
 
