Bound what a member holds, and have a panic of the fleet end the fleet's part alone

Looking through the change once more: a word with fewer than six protocol versions would have the library read past its end, in a goroutine of its own, and end the app server; such words are dropped as lies now (TestLies has one). Streams gave their place back before the library had closed them, so that many at once could take all descriptors; the place is kept until the close, and 32 descriptors are kept back from callers while the fleet is on.

A rehearsal of faults drawn from the seed, or read from a file, and tests of the rig: scripts, paths, streams, and that processes end with a rig that was killed.

--- a/charter/bylaws_test.go
+++ b/charter/bylaws_test.go
@@ -32,6 +32,45 @@
 	// open /nowhere/op.conf: no such file or directory
 }
 
+// The fleet's directives are checked with each other, and with the platform's.
+func Example_fleet() {
+	const on = "fleet.listen 10.0.0.4:7946\n"
+	for _, text := range []string{"fleet.listen 10.0.0.4", "fleet.zone east", on + "fleet.join", on + "fleet.join 10.0.0.5:1 10.0.0.5:1",
+		on + "fleet.allow 10.0.0.0/33", on + "fleet.allow 10.0.0.1/8", on + "fleet.allow 192.168.0.0/16", "fleet.listen 0.0.0.0:7946",
+		on + "fleet.advertise 0.0.0.0:7946", on + "fleet.join 8.8.8.8:7946", on + "fleet.probe 2s", on + "fleet.hold 200ms",
+		on + "fleet.zone " + strings.Repeat("x", 65), on + "fleet.socket a b"} {
+		_, err := ParseBylaws("op.conf", []byte(text))
+		fmt.Println(err)
+	}
+	b, err := ParseBylaws("op.conf", []byte("fleet.listen off\n"))
+	fmt.Println(b.Fleet.On(), err)
+	b, err = ParseBylaws("op.conf", []byte("fleet.listen 0.0.0.0:7946\nfleet.advertise 10.1.2.3:7946\nfleet.join 10.0.0.5:7946 10.0.0.6:7946\n"))
+	fmt.Println(b.Fleet.On(), err)
+	c := &Charter{Name: strings.Repeat("n", 65)}
+	fmt.Println(b.Fleet.Suits(c))
+	c.Name, c.Listen = "n1", b.Fleet.Listen
+	fmt.Println(b.Fleet.Suits(c))
+	// Output:
+	// op.conf:1: fleet.listen: "10.0.0.4" is no address and port such as 10.0.0.4:7946
+	// op.conf:1: fleet.zone: fleet.listen is not set
+	// op.conf:2: fleet.join: one to 64 addresses are wanted, or none
+	// op.conf:2: fleet.join: 10.0.0.5:1 is named twice
+	// op.conf:2: fleet.allow: "10.0.0.0/33" is no network such as 10.0.0.0/8
+	// op.conf:2: fleet.allow: 10.0.0.1/8 has bits past its length: 10.0.0.0/8 is meant?
+	// op.conf:1: fleet.listen: 10.0.0.4:7946 is not among fleet.allow, so others would drop what comes from there
+	// op.conf:1: fleet.listen: others need to be told an address: set fleet.advertise
+	// op.conf:2: fleet.advertise: 0.0.0.0:7946 is no address that others could reach
+	// op.conf:2: fleet.join: 8.8.8.8:7946 is not among fleet.allow
+	// op.conf:2: fleet.probe: a hold of 600ms is less than the 2s between two probes
+	// op.conf:2: fleet.hold: a hold of 200ms is less than the 300ms between two probes
+	// op.conf:2: fleet.zone: one name of at most 64 bytes is wanted
+	// op.conf:2: fleet.socket: one path of at most 100 bytes is wanted
+	// false <nil>
+	// true <nil>
+	// name: 65 bytes are more than the 64 that a fleet takes
+	// listen: 0.0.0.0:7946 is the fleet's too
+}
+
 // What is shown is what was set, and where.
 func Example_show() {
 	b, err := ParseBylaws("op.conf", []byte("pressure on\n'pressure.memory'  80% # remark\npressure.unread off\npressure.cpu 50%\n"))
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -29,6 +29,7 @@
 	{"pressure", "shedding before falling behind: a tripling, a leak, few cores, each with it off beside", playPressure},
 	{"view", "the fleet's view: deaths, flapping, two under one name, releases, with the fleet off beside", playView},
 	{"view-faults", "the fleet's view between cuts and loss, the gossip library alone beside", playViewFaults},
+	{"view-drawn", "the fleet's view under faults drawn from the seed, or read from --script", playViewDrawn},
 	{"view-cost", "what the view costs: 20, 100 and 300 members in one process, at rest and after a fifth have died", playViewCost},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
 }
@@ -47,6 +48,7 @@
 	Long     bool
 	Program  string // the program's binary
 	History  string // a file for what was said and done, if any
+	Script   string // a file of faults, if any
 	rehearse string // this program's binary, where it is not the one that runs
 	brief    bool   // the shortest form, for tests
 	out      io.Writer
@@ -129,6 +131,7 @@
 	run.Flags().BoolVar(&p.Long, "long", false, "the long form")
 	run.Flags().StringVar(&p.Program, "program", beside("valveglade"), "the program's binary")
 	run.Flags().StringVar(&p.History, "history", "", "write all that was said and done to this file, as JSON lines")
+	run.Flags().StringVar(&p.Script, "script", "", "play the faults of this file instead of drawing them, where a rehearsal draws")
 	run.Flags().StringVar(&path, "json", "", "write the figures to this file too")
 	root.AddCommand(run, echoCommand(), bareCommand())
 	return root
--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -36,7 +36,6 @@
 
 // flock is some swarms that live through the same.
 type flock struct {
-	p      *play
 	swarms []*rig.Swarm
 }
 
@@ -207,7 +206,7 @@
 // all at once, beside the same processes with the fleet off.
 func playView(p *play) error {
 	const n = 12
-	f := &flock{p: p}
+	f := &flock{}
 	defer f.close()
 	var on, off *rig.Swarm
 	var group sync.WaitGroup
@@ -231,7 +230,7 @@
 	p.atMost("joined.all", time.Since(began).Seconds(), 10)
 
 	// Nobody does anything to the first half; to the second, all kinds of things.
-	still, rest := all[:6], all[6:]
+	still := all[:6]
 	length := 12 * time.Second
 	served := map[*rig.Swarm]map[string]rig.Outcome{}
 	var mu sync.Mutex
@@ -317,9 +316,7 @@
 			return err
 		}
 		p.atMost("restart.of.all", p.untilAlike(on, 12*time.Second, n, fresh), 10)
-		rest = fresh
 	}
-	_ = rest
 	p.exactly("views.differ.at.end", differ(on), 0)
 	p.breaches(on, off)
 	return p.keep(on)
@@ -355,7 +352,7 @@
 // playViewFaults is the rehearsal of the view between faults of the network, beside the gossip library alone.
 func playViewFaults(p *play) error {
 	const n = 12
-	f := &flock{p: p}
+	f := &flock{}
 	defer f.close()
 	var on, bare *rig.Swarm
 	var group sync.WaitGroup
@@ -450,6 +447,46 @@
 	return p.keep(on)
 }
 
+// playViewDrawn plays faults that nobody has chosen, and asks for what must hold whatever they were: in the end all see
+// the same, all of it, and no rule was broken.
+func playViewDrawn(p *play) error {
+	const n = 8
+	length := p.span(20 * time.Second)
+	script := rig.Draw(p.Seed, names(n), 10, length)
+	if p.Script != "" {
+		text, err := os.ReadFile(p.Script)
+		if err != nil {
+			return err
+		}
+		if script, err = rig.ParseScript(string(text)); err != nil {
+			return fmt.Errorf("%s: %w", p.Script, err)
+		}
+	}
+	for line := range strings.Lines(script.String()) {
+		p.say("%s", strings.TrimSpace(line))
+	}
+	s, err := rig.NewSwarm(p.plan(n))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	all := names(n)
+	p.atMost("joined.all", p.untilAlike(s, 15*time.Second, n, all), 10)
+	var loading sync.WaitGroup
+	var out map[string]rig.Outcome
+	loading.Go(func() { out = p.load(s, length, 15, all) })
+	if err := s.Play(context.Background(), script); err != nil {
+		return err
+	}
+	alive := s.Running()
+	p.atMost("settled.after.all", p.untilAlike(s, 20*time.Second, len(alive), alive), 15)
+	loading.Wait()
+	p.inform("service", service(out, all))
+	p.exactly("views.differ.at.end", differ(s), 0)
+	p.breaches(s)
+	return p.keep(s)
+}
+
 func count(b bool) int {
 	if b {
 		return 1
--- a/member/inspect.go
+++ b/member/inspect.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 
 	"github.com/hashicorp/go-msgpack/v2/codec"
 )
@@ -49,6 +50,7 @@
 	Addr        []byte
 	Port        uint16
 	Meta        []byte
+	Vsn         []uint8
 }
 
 // state is a member in an exchange of all that is known, whole: it is written again.
@@ -73,10 +75,13 @@
 }
 
 // credible tells what is wrong with a member's life as another describes it, nil if nothing is.
-func (w *wire) credible(node string, incarnation uint32, addr []byte, port uint16, meta []byte) error {
+func (w *wire) credible(node string, incarnation uint32, addr []byte, port uint16, meta []byte, versions []uint8) error {
 	if incarnation > mostIncarnation {
 		return errAbsurd
 	}
+	if len(versions) != 6 { // the library takes it for granted
+		return fmt.Errorf("%.80q has %d versions of protocols", node, len(versions))
+	}
 	e, err := readEntry(meta)
 	if err != nil {
 		return fmt.Errorf("what %.80q says of itself: %v", node, err) // a lie, whatever it is
@@ -165,7 +170,7 @@
 				return fmt.Errorf("message of kind %d: %w", kind, errCut)
 			}
 			if kind == msgAlive {
-				return w.credible(c.Node, c.Incarnation, c.Addr, c.Port, c.Meta)
+				return w.credible(c.Node, c.Incarnation, c.Addr, c.Port, c.Meta, c.Vsn)
 			}
 			if c.Incarnation > mostIncarnation {
 				return errAbsurd
@@ -200,10 +205,17 @@
 	in     *bufio.Reader
 	looked bool
 	ready  *bytes.Reader // what is left of a checked exchange
+	over   func()        // once, when it is closed
+}
+
+func newStream(nc net.Conn, w *wire, over func()) *stream {
+	return &stream{Conn: nc, w: w, in: bufio.NewReader(io.LimitReader(nc, mostExchange)), over: sync.OnceFunc(over)}
 }
 
-func newStream(nc net.Conn, w *wire) *stream {
-	return &stream{Conn: nc, w: w, in: bufio.NewReader(io.LimitReader(nc, mostExchange))}
+// Close ends it.
+func (s *stream) Close() error {
+	defer s.over()
+	return s.Conn.Close()
 }
 
 func (s *stream) Read(b []byte) (int, error) {
@@ -250,7 +262,7 @@
 		if err := in.Decode(&one); err != nil {
 			return nil, errCut
 		}
-		if err := s.w.credible(one.Name, one.Incarnation, one.Addr, one.Port, one.Meta); err != nil {
+		if err := s.w.credible(one.Name, one.Incarnation, one.Addr, one.Port, one.Meta, one.Vsn); err != nil {
 			s.w.tell(lying, s.RemoteAddr().String(), err)
 			continue
 		}
--- a/member/member.go
+++ b/member/member.go
@@ -192,8 +192,10 @@
 	}
 	m.group.Go(func() error {
 		defer m.wire.close()
+		defer m.end()
 		defer end()
-		return m.loop(ctx, all)
+		// The app server does without a fleet rather than end with it.
+		return m.wire.guard("loop", func() error { return m.loop(ctx, all) })
 	})
 	return m.group.Wait()
 }
@@ -467,7 +469,7 @@
 
 // NotifyAlive looks once more at what the library is about to believe.
 func (g *gossip) NotifyAlive(n *memberlist.Node) error {
-	return g.m.wire.credible(n.Name, 0, n.Addr, n.Port, n.Meta)
+	return g.m.wire.credible(n.Name, 0, n.Addr, n.Port, n.Meta, []uint8{n.PMin, n.PMax, n.PCur, n.DMin, n.DMax, n.DCur})
 }
 
 // AckPayload and NotifyPingComplete carry the views' digests along with probes.
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -158,6 +158,7 @@
 			seal(nil, kindGossip, encoded(msgAlive, alive{3, name, []byte{8, 8, 8, 8}, port, good, vsn})),           // outside
 			seal(nil, kindGossip, encoded(msgAlive, alive{3, name, addr, port, bytes.Repeat([]byte{7}, 400), vsn})), // a huge digest
 			seal(nil, kindGossip, encoded(msgAlive, alive{3, name, addr, port, appendEntry(nil, born), vsn})),
+			seal(nil, kindGossip, encoded(msgAlive, alive{3, name, addr, port, good, vsn[:1]})), // on which the library would break
 		},
 	} {
 		for range 3 {
@@ -221,7 +222,7 @@
 	in.WriteString("user")
 	near, far := net.Pipe()
 	go func() { far.Write(in.Bytes()); far.Close() }()
-	text, err := io.ReadAll(newStream(near, w))
+	text, err := io.ReadAll(newStream(near, w, func() {}))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/member/swarm_test.go
+++ b/member/swarm_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"os/exec"
 	"slices"
 	"strings"
 	"sync"
@@ -106,6 +107,14 @@
 	if k < 0 || shown.Members[k].Birth <= former.Members[was].Birth {
 		t.Errorf("%+v after %+v", shown.Members, former.Members)
 	}
+	// What operators are shown.
+	table, err := exec.Command(program, "fleet", "--socket", s.Socket("n2")).CombinedOutput()
+	if err != nil || !strings.Contains(string(table), "of n2, ") || !strings.Contains(string(table), "\nn5 ") {
+		t.Errorf("%v: %s", err, table)
+	}
+	if text, err := exec.Command(program, "fleet").CombinedOutput(); err == nil || !strings.Contains(string(text), "no fleet.socket is set") {
+		t.Errorf("%v: %s", err, text)
+	}
 	run(t, s, "0s notice n5")
 	alike(t, s, 4, names[:4])
 	if n, _ := s.History.Lines("n1", "n5 went: left", from); n != 1 {
--- a/member/wire.go
+++ b/member/wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -61,6 +62,10 @@
 // mostStreams is how many connections are read at one time: an exchange may take a megabyte.
 const mostStreams = 16
 
+// Descriptors is how many a member holds at the most: its sockets, the streams that come, those that it opens (three to meet
+// others, some knocks and probes), and the local socket with one who asks there.
+const Descriptors = 2 + mostStreams + 12 + 2
+
 // epoch makes times of the monotonic clock small numbers.
 var epoch = time.Now()
 
@@ -133,28 +138,43 @@
 		}
 		w.got.packets.Add(1)
 		w.got.bytes.Add(int64(n))
-		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
-		if !w.allowed(from.Addr()) {
-			w.tell(outside, from.String(), nil)
-			continue
+		w.guard("packet", func() error { w.packet(b[:n], from); return nil })
+	}
+}
+
+// guard has a panic end what it came with, and nothing else.
+func (w *wire) guard(what string, f func() error) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			w.log.Error("panic", zap.String("fleet", what), zap.Any("panic", p), zap.Stack("stack"))
 		}
-		kind, payload, err := open(b[:n])
-		switch {
-		case err == errForeign:
-			w.tell(foreign, from.String(), err)
-		case err != nil:
-			w.tell(unreadable, from.String(), err)
-		case kind == kindTeach:
-			if e, ok := readTeach(payload); ok {
-				w.heard(view.Event{Kind: view.Outlived, Entry: e})
-			} else {
-				w.tell(unreadable, from.String(), errCut)
-			}
-		case kind == kindGossip:
-			w.gossip(payload, from)
-		default:
-			w.tell(foreign, from.String(), fmt.Errorf("a packet of kind %q", kind))
+	}()
+	return f()
+}
+
+// packet looks at one, and passes it on to whom it is for.
+func (w *wire) packet(b []byte, from netip.AddrPort) {
+	from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+	if !w.allowed(from.Addr()) {
+		w.tell(outside, from.String(), nil)
+		return
+	}
+	kind, payload, err := open(b)
+	switch {
+	case err == errForeign:
+		w.tell(foreign, from.String(), err)
+	case err != nil:
+		w.tell(unreadable, from.String(), err)
+	case kind == kindTeach:
+		if e, ok := readTeach(payload); ok {
+			w.heard(view.Event{Kind: view.Outlived, Entry: e})
+		} else {
+			w.tell(unreadable, from.String(), errCut)
 		}
+	case kind == kindGossip:
+		w.gossip(payload, from)
+	default:
+		w.tell(foreign, from.String(), fmt.Errorf("a packet of kind %q", kind))
 	}
 }
 
@@ -188,6 +208,9 @@
 	return err
 }
 
+// mostEntry is what a word on oneself is at the most, and room for what a later version adds.
+const mostEntry = 512
+
 // headWait is how long a connection may take to say what it is for.
 const headWait = time.Second
 
@@ -210,7 +233,7 @@
 		}
 		select {
 		case w.streams <- struct{}{}:
-			go w.greet(nc)
+			go w.guard("stream", func() error { w.greet(nc); return nil })
 		default:
 			w.tell(crowded, from.String(), nil)
 			nc.Close()
@@ -218,54 +241,48 @@
 	}
 }
 
-// greet reads what a connection is for.
-func (w *wire) greet(nc net.Conn) {
-	defer func() { <-w.streams }()
-	nc.SetDeadline(time.Now().Add(headWait))
-	head := make([]byte, streamHead)
-	for n := 0; n < len(head); {
-		k, err := nc.Read(head[n:])
-		if err != nil {
+// greet reads what a connection is for. Its place is given back when it is closed, whoever closes it.
+func (w *wire) greet(bare net.Conn) {
+	nc := newStream(bare, w, func() { <-w.streams })
+	kept := false
+	defer func() {
+		if !kept {
 			nc.Close()
-			return
 		}
-		n += k
+	}()
+	nc.SetDeadline(time.Now().Add(headWait))
+	head := make([]byte, streamHead)
+	if _, err := io.ReadFull(bare, head); err != nil {
+		return
 	}
 	t := w.transport.Load()
 	switch {
 	case string(head[:len(magic)]) != magic:
 		w.tell(foreign, nc.RemoteAddr().String(), errForeign)
-		nc.Close()
 	case head[len(magic)] == kindKnock:
-		w.knocked(nc)
-		nc.Close()
+		w.knocked(bare)
 	case head[len(magic)] == kindGossip && t != nil:
 		nc.SetDeadline(time.Time{})
 		select {
-		case t.streams <- newStream(nc, w):
+		case t.streams <- nc:
+			kept = true
 		case <-t.done:
-			nc.Close()
 		case <-time.After(headWait):
-			nc.Close()
 		}
 	default:
-		nc.Close()
+		w.tell(foreign, nc.RemoteAddr().String(), fmt.Errorf("a stream of kind %q", head[len(magic)]))
 	}
 }
 
 // knocked answers who is here.
 func (w *wire) knocked(nc net.Conn) {
 	var size [1]byte
-	if _, err := nc.Read(size[:]); err != nil {
+	if _, err := io.ReadFull(nc, size[:]); err != nil {
 		return
 	}
 	name := make([]byte, size[0])
-	for n := 0; n < len(name); {
-		k, err := nc.Read(name[n:])
-		if err != nil {
-			return
-		}
-		n += k
+	if _, err := io.ReadFull(nc, name); err != nil {
+		return
 	}
 	if e, ok := w.answer(string(name)); ok {
 		nc.Write(appendEntry(nil, e))
@@ -302,16 +319,11 @@
 	if _, err := nc.Write(appendText(nil, name)); err != nil {
 		return view.Entry{}, err
 	}
-	b := make([]byte, 512)
-	n := 0
-	for n < len(b) {
-		k, err := nc.Read(b[n:])
-		n += k
-		if err != nil {
-			break
-		}
+	b, err := io.ReadAll(io.LimitReader(nc, mostEntry))
+	if err != nil {
+		return view.Entry{}, err
 	}
-	e, err := readEntry(b[:n])
+	e, err := readEntry(b)
 	if err == nil && e.Name != name {
 		err = fmt.Errorf("%s answers there", e.Name)
 	}
@@ -381,7 +393,7 @@
 		return nil, err
 	}
 	nc.SetDeadline(time.Time{})
-	return newStream(nc, t.wire), nil
+	return newStream(nc, t.wire, func() {}), nil
 }
 
 // StreamCh is where streams come in.
--- a/rig/history.go
+++ b/rig/history.go
@@ -15,7 +15,6 @@
 	began  time.Time
 	events []Event
 	latest map[string]Sight
-	each   func(Event) // told of each, if set before the start
 }
 
 // Event is one line of it.
@@ -75,9 +74,6 @@
 	if len(h.events) < mostEvents {
 		h.events = append(h.events, e)
 	}
-	if h.each != nil {
-		h.each(e)
-	}
 }
 
 // Sight reads a view out of a line, if it tells one.
--- a/rig/script.go
+++ b/rig/script.go
@@ -154,6 +154,9 @@
 	return strings.Join(words, " ")
 }
 
+// ills are what can be wrong with a process for a while, and what ends it.
+var ills = [4][2]string{{"kill", "start"}, {"stop", "cont"}, {"starve", "feed"}, {"hang", "unhang"}}
+
 // Draw makes a script from a seed: faults of every kind among the names, overlapping, all of them over by the end.
 func Draw(seed uint64, names []string, faults int, length time.Duration) Script {
 	r := rand.New(rand.NewPCG(seed, 11))
@@ -195,10 +198,9 @@
 				continue
 			}
 			busy[who] = at + lasts + 2*time.Second
-			begin, end := [][2]string{{"kill", "start"}, {"stop", "cont"}, {"starve", "feed"}, {"hang", "unhang"}}[kind-4][0],
-				[][2]string{{"kill", "start"}, {"stop", "cont"}, {"starve", "feed"}, {"hang", "unhang"}}[kind-4][1]
-			add(Fault{At: at, Verb: begin, Who: []string{who}, Share: 0.1})
-			add(Fault{At: at + lasts, Verb: end, Who: []string{who}})
+			pair := ills[kind-4]
+			add(Fault{At: at, Verb: pair[0], Who: []string{who}, Share: 0.1})
+			add(Fault{At: at + lasts, Verb: pair[1], Who: []string{who}})
 		}
 	}
 	add(Fault{At: length, Verb: "heal"})
--- /dev/null
+++ b/rig/swarm_test.go
@@ -0,0 +1,201 @@
+package rig
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A script reads as it is written, whoever wrote it; a faulty one is named by its line.
+func TestScript(t *testing.T) {
+	for seed := range uint64(50) {
+		s := Draw(seed, []string{"n1", "n2", "n3", "n4", "n5"}, 12, 20*time.Second)
+		again, err := ParseScript(s.String())
+		if err != nil || again.String() != s.String() || len(s) < 2 {
+			t.Fatalf("seed %d: %v\n%s\n%s", seed, err, s, again)
+		}
+		if Draw(seed, []string{"n1", "n2", "n3", "n4", "n5"}, 12, 20*time.Second).String() != s.String() {
+			t.Fatalf("seed %d does not replay", seed)
+		}
+	}
+	if Draw(1, []string{"n1", "n2"}, 9, time.Second).String() == Draw(2, []string{"n1", "n2"}, 9, time.Second).String() {
+		t.Error("two seeds draw the same")
+	}
+	for text, want := range map[string]string{"2 cut a>b": "line 1: \"2\" is no time", "\n1s shake a": "line 2: no fault", "1s": "no fault is named",
+		"1s loss a>b": "wants 2 words", "1s cut a": "no two sides", "1s loss a>b 300%": "no share", "1s delay a>b x 1s": "invalid duration"} {
+		if _, err := ParseScript(text); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+}
+
+// talk is two sockets with paths between them.
+func talk(t *testing.T) (p *Paths, one, two *net.UDPConn) {
+	t.Helper()
+	p, err := NewPaths(1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(p.Close)
+	for slot := 1; slot <= 2; slot++ {
+		if err := p.Add(slot); err != nil {
+			t.Fatal(err)
+		}
+	}
+	open := func(slot int) *net.UDPConn {
+		c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(p.Own(slot)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	return p, open(1), open(2)
+}
+
+// arrives counts what comes of n packets sent from one to the other, and gives when the last came.
+func arrives(p *Paths, from, to *net.UDPConn, slot, n int) (got int, last time.Duration) {
+	begin := time.Now()
+	for k := range n {
+		from.WriteToUDPAddrPort([]byte(fmt.Sprint(k)), p.Via(slot))
+	}
+	b := make([]byte, 100)
+	for {
+		to.SetReadDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, src, err := to.ReadFromUDPAddrPort(b); err != nil {
+			return got, last
+		} else if src.Addr() != p.Via(3-slot).Addr() {
+			return -1, 0 // it does not say who speaks
+		}
+		got, last = got+1, time.Since(begin)
+	}
+}
+
+// Each fault of a path does what it says, one way only, and ends with it.
+func TestPaths(t *testing.T) {
+	p, one, two := talk(t)
+	if n, _ := arrives(p, one, two, 2, 50); n != 50 {
+		t.Errorf("%d of 50 on a good path", n)
+	}
+	p.Change(1, 2, func(l *Path) { l.Cut = true })
+	if n, _ := arrives(p, one, two, 2, 50); n != 0 {
+		t.Errorf("%d of 50 through a cut", n)
+	}
+	if n, _ := arrives(p, two, one, 1, 50); n != 50 {
+		t.Errorf("%d of 50 the other way", n)
+	}
+	p.Heal()
+	p.Change(1, 2, func(l *Path) { l.Loss = 0.5 })
+	if n, _ := arrives(p, one, two, 2, 200); n < 60 || n > 140 {
+		t.Errorf("%d of 200 at a loss of a half", n)
+	}
+	p.Heal()
+	p.Change(1, 2, func(l *Path) { l.Double, l.Delay = 1, 100*time.Millisecond })
+	if n, last := arrives(p, one, two, 2, 50); n != 100 || last < 100*time.Millisecond {
+		t.Errorf("%d of 50 doubled, the last after %v", n, last)
+	}
+	p.Heal()
+	p.Change(1, 2, func(l *Path) { l.Rate = 500 })
+	if n, last := arrives(p, one, two, 2, 50); n != 50 || last < 150*time.Millisecond {
+		t.Errorf("%d of 50 on a narrow path, the last after %v", n, last)
+	}
+}
+
+// A stream waits behind a cut, goes on after it, and tells who speaks; to an end where nobody listens it is closed.
+func TestStreams(t *testing.T) {
+	p, _, _ := talk(t)
+	listener, err := net.Listen("tcp", p.Own(2).String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	go func() {
+		for {
+			nc, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer nc.Close()
+				b := make([]byte, 100)
+				n, _ := nc.Read(b)
+				host, _, _ := net.SplitHostPort(nc.RemoteAddr().String())
+				fmt.Fprintf(nc, "%s from %s", b[:n], host)
+			}()
+		}
+	}()
+	dial := func() net.Conn {
+		d := net.Dialer{LocalAddr: &net.TCPAddr{IP: p.Own(1).Addr().AsSlice()}}
+		nc, err := d.Dial("tcp", p.Via(2).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { nc.Close() })
+		nc.SetDeadline(time.Now().Add(5 * time.Second))
+		return nc
+	}
+	b := make([]byte, 100)
+	p.Change(2, 1, func(l *Path) { l.Cut = true })
+	nc := dial()
+	fmt.Fprint(nc, "hello")
+	nc.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	if n, err := nc.Read(b); err == nil {
+		t.Errorf("%q through a cut", b[:n])
+	}
+	p.Heal()
+	nc.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if n, err := nc.Read(b); err != nil || string(b[:n]) != "hello from "+p.Via(1).Addr().String() {
+		t.Errorf("%q, %v", b[:n], err)
+	}
+	listener.Close()
+	if n, err := dial().Read(b); err == nil || n > 0 {
+		t.Errorf("%q from nobody", b[:n])
+	}
+}
+
+// Whatever the rig has started ends with it, also when the rig itself is killed.
+func TestEndsWithTheRig(t *testing.T) {
+	if path := os.Getenv("RIG_CHILD"); path != "" {
+		p := &Process{}
+		if _, err := p.run(exec.Command("sleep", "60"), func(error) {}); err != nil {
+			os.Exit(1)
+		}
+		os.WriteFile(path+".part", []byte(strconv.Itoa(p.Pid())), 0o600)
+		os.Rename(path+".part", path)
+		select {}
+	}
+	path := filepath.Join(t.TempDir(), "pid")
+	rig := exec.Command(os.Args[0], "-test.run=^TestEndsWithTheRig$")
+	rig.Env = append(os.Environ(), "RIG_CHILD="+path)
+	if err := rig.Start(); err != nil {
+		t.Fatal(err)
+	}
+	wait := func(what string, holds func() bool) {
+		for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(10 * time.Millisecond) {
+			if time.Now().After(end) {
+				rig.Process.Kill()
+				t.Fatal(what)
+			}
+		}
+	}
+	pid := 0
+	wait("no child was started", func() bool {
+		text, err := os.ReadFile(path)
+		pid, _ = strconv.Atoi(string(text))
+		return err == nil && pid > 0
+	})
+	rig.Process.Kill()
+	rig.Wait()
+	// What is left of it may wait for a parent to reap it.
+	wait("the child lives on", func() bool {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+		return err != nil || strings.Contains(string(text), ") Z ") || syscall.Kill(pid, 0) != nil
+	})
+}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -20,6 +20,14 @@
 // partBefore is how long before the stop a leaving app server says good-bye to the fleet: a good-bye takes half of it.
 const partBefore = 1.2
 
+// reserved is how many descriptors are kept back from callers: while the fleet is on, its sockets and streams too.
+func (s *Server) reserved() int {
+	if s.fleetLaws.On() {
+		return reserve + member.Descriptors
+	}
+	return reserve
+}
+
 // joinFleet makes this app server a member, where the operators have said so; nil otherwise.
 func (s *Server) joinFleet() (*member.Member, error) {
 	laws := s.fleetLaws
--- a/server/listen.go
+++ b/server/listen.go
@@ -83,7 +83,7 @@
 func (s *Server) least() (out *conn, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) < s.charter.Load().Sockets-reserve {
+	if len(s.conns) < s.charter.Load().Sockets-s.reserved() {
 		return nil, true
 	}
 	now := time.Now()
@@ -138,7 +138,7 @@
 			idle = append(idle, quiet{c, at})
 		}
 	}
-	if len(s.conns) < (s.charter.Load().Sockets-reserve)*3/4 {
+	if len(s.conns) < (s.charter.Load().Sockets-s.reserved())*3/4 {
 		return
 	}
 	slices.SortFunc(idle, func(a, b quiet) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
--- a/server/press.go
+++ b/server/press.go
@@ -224,7 +224,7 @@
 	sum, n := p.lags.Swap(0), p.lagged.Swap(0)
 	r[pressure.Unread] = lag.Read(now, float64(sum)/1e6, int(n), stepped)
 	s.mu.Lock()
-	r[pressure.Descriptors] = float64(len(s.conns)+reserve) / float64(max(c.Sockets, 1))
+	r[pressure.Descriptors] = float64(len(s.conns)+s.reserved()) / float64(max(c.Sockets, 1))
 	s.mu.Unlock()
 	r[pressure.Owed] = float64(p.owed.Load()) / (float64(c.Memory) / heldShare)
 }
