One owner at a time for an office of the fleet, by a majority of named voters, off unless set

Need: work for all app servers has to be done once; both sides of a cut have a view, so a view cannot say by whom.

logic/owner decides (Voter, Candidate, Fence; no I/O): terms by majority, leases counted by the owner from when it asked, a first ask that changes nothing, promises that last or silence. fleet/ drives it over member's packets, keeps promises whole and synced, runs an office's work under a context that ends before the lease, and gives up at once on the notice. fleet.office sends orders under a term to an address, which refuses late ones.

Found by the tests: a voter's floor after its start, told with a refusal, had an owner of an earlier term give up for nothing (Voter.Take, the answer to Renew); a floor overtakes nobody now, and a voter that missed a claim joins it. Random walks over three voters and two candidates find each of five rules left out.

--- a/charter/bylaws_test.go
+++ b/charter/bylaws_test.go
@@ -38,7 +38,9 @@
 	for _, text := range []string{"fleet.listen 10.0.0.4", "fleet.zone east", on + "fleet.join", on + "fleet.join 10.0.0.5:1 10.0.0.5:1",
 		on + "fleet.allow 10.0.0.0/33", on + "fleet.allow 10.0.0.1/8", on + "fleet.allow 192.168.0.0/16", "fleet.listen 0.0.0.0:7946",
 		on + "fleet.advertise 0.0.0.0:7946", on + "fleet.join 8.8.8.8:7946", on + "fleet.probe 2s", on + "fleet.hold 200ms",
-		on + "fleet.zone " + strings.Repeat("x", 65), on + "fleet.socket a b"} {
+		on + "fleet.zone " + strings.Repeat("x", 65), on + "fleet.socket a b",
+		on + "fleet.voters a b", on + "fleet.voters a b c d", on + "fleet.voters a b a", on + "fleet.lease 5s", on + "fleet.voters a b c\nfleet.lease 600ms",
+		on + "fleet.voters a b c\nfleet.drift 30%", on + "fleet.voters a b c\nfleet.office sweep", on + "fleet.voters a b c\nfleet.office sweep 10.0.0.9 1s"} {
 		_, err := ParseBylaws("op.conf", []byte(text))
 		fmt.Println(err)
 	}
@@ -65,6 +67,14 @@
 	// op.conf:2: fleet.hold: a hold of 200ms is less than the 300ms between two probes
 	// op.conf:2: fleet.zone: one name of at most 64 bytes is wanted
 	// op.conf:2: fleet.socket: one path of at most 100 bytes is wanted
+	// op.conf:2: fleet.voters: three, five or seven names are wanted, not 2
+	// op.conf:2: fleet.voters: three, five or seven names are wanted, not 4
+	// op.conf:2: fleet.voters: a is named twice
+	// op.conf:2: fleet.lease: fleet.voters is not set
+	// op.conf:3: fleet.lease: a lease of 600ms is shorter than three probes of 300ms
+	// op.conf:3: fleet.drift: "30%" is not from 0.01% to 20%
+	// op.conf:3: fleet.office: a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s
+	// op.conf:3: fleet.office: "10.0.0.9" is no address and port such as 10.0.0.4:7946
 	// false <nil>
 	// true <nil>
 	// name: 65 bytes are more than the 64 that a fleet takes
--- a/charter/fleet.go
+++ b/charter/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 
 	"valveglade/logic/view"
@@ -21,6 +22,18 @@
 	Hold      float64
 	Forget    float64
 	Socket    string
+	Voters    []string // of offices; none while nobody owns anything
+	Lease     float64
+	Drift     float64 // a share
+	State     string  // a folder that lasts, for a voter's promises
+	Office    Office
+}
+
+// Office is a work that is done once for the whole fleet: its owner sends an order to an address, again and again.
+type Office struct {
+	Name  string
+	Order netip.AddrPort
+	Every float64
 }
 
 // On tells whether the app server is to take part in a fleet.
@@ -39,7 +52,7 @@
 
 func newFleet() Fleet {
 	usual := view.Defaults()
-	f := Fleet{Probe: 0.3, Hold: usual.Hold, Forget: usual.Forget}
+	f := Fleet{Probe: 0.3, Hold: usual.Hold, Forget: usual.Forget, Lease: 2, Drift: 0.01}
 	for _, p := range usualAllow {
 		f.Allow = append(f.Allow, netip.MustParsePrefix(p))
 	}
@@ -149,6 +162,83 @@
 			}
 			return b.Fleet.Socket
 		}},
+	{"fleet.voters", "none|NAME...", "three, five or seven app servers, the same everywhere, a majority of which decides who owns an office",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "none" {
+				return nil
+			}
+			if n := len(w); n < 3 || n > 7 || n%2 == 0 {
+				return fmt.Errorf("three, five or seven names are wanted, not %d", n)
+			}
+			for k, name := range w {
+				if name == "" || len(name) > mostLetters {
+					return fmt.Errorf("%q is not a name of 1 to %d bytes", name, mostLetters)
+				}
+				if slices.Contains(w[:k], name) {
+					return fmt.Errorf("%s is named twice", name)
+				}
+			}
+			b.Fleet.Voters = w
+			return nil
+		},
+		func(b *Bylaws) string {
+			if len(b.Fleet.Voters) == 0 {
+				return "none"
+			}
+			return strings.Join(b.Fleet.Voters, " ")
+		}},
+	{"fleet.lease", "TIME", "for which an office is owned without being renewed: a new owner comes within two of it",
+		func(b *Bylaws, w []string) error { return span(&b.Fleet.Lease, w, 0.5, 60) },
+		func(b *Bylaws) string { return showSpan(b.Fleet.Lease) }},
+	{"fleet.drift", "SHARE%", "by which the clocks of two machines may drift apart while a lease runs",
+		func(b *Bylaws, w []string) error {
+			if len(w) != 1 || !strings.HasSuffix(w[0], "%") {
+				return errors.New("a share such as 1% is wanted")
+			}
+			v, err := strconv.ParseFloat(strings.TrimSuffix(w[0], "%"), 64)
+			if err != nil || !(v >= 0.01 && v <= 20) {
+				return fmt.Errorf("%q is not from 0.01%% to 20%%", w[0])
+			}
+			b.Fleet.Drift = v / 100
+			return nil
+		},
+		func(b *Bylaws) string { return strconv.FormatFloat(b.Fleet.Drift*100, 'g', 4, 64) + "%" }},
+	{"fleet.state", "FOLDER|none", "a folder of this app server's own that lasts over restarts, for what it promised as a voter",
+		func(b *Bylaws, w []string) error {
+			if len(w) != 1 || w[0] == "" {
+				return errors.New("one folder is wanted, or none")
+			}
+			if w[0] != "none" {
+				b.Fleet.State = w[0]
+			}
+			return nil
+		},
+		func(b *Bylaws) string {
+			if b.Fleet.State == "" {
+				return "none"
+			}
+			return b.Fleet.State
+		}},
+	{"fleet.office", "none|NAME ADDRESS:PORT TIME", "its owner, one app server at a time, sends an order there as often",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "none" {
+				return nil
+			}
+			if len(w) != 3 || w[0] == "" || len(w[0]) > mostLetters {
+				return errors.New("a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s")
+			}
+			b.Fleet.Office.Name = w[0]
+			if err := address(&b.Fleet.Office.Order, w[1:2]); err != nil {
+				return err
+			}
+			return span(&b.Fleet.Office.Every, w[2:], 0.01, 3600)
+		},
+		func(b *Bylaws) string {
+			if o := b.Fleet.Office; o.Name != "" {
+				return o.Name + " " + o.Order.String() + " " + showSpan(o.Every)
+			}
+			return "none"
+		}},
 }
 
 func address(into *netip.AddrPort, words []string) error {
@@ -220,6 +310,19 @@
 		}
 		return misrule(at, "a hold of %s is less than the %s between two probes", showSpan(f.Hold), showSpan(f.Probe))
 	}
+	for _, name := range []string{"fleet.lease", "fleet.drift", "fleet.state", "fleet.office"} {
+		if len(f.Voters) == 0 && b.lines[name] > 0 {
+			return misrule(name, "fleet.voters is not set")
+		}
+	}
+	// Shorter than some probes a lease would end by what the network does every day.
+	if len(f.Voters) > 0 && f.Lease < 3*f.Probe {
+		at := "fleet.lease"
+		if b.lines[at] == 0 {
+			at = "fleet.probe"
+		}
+		return misrule(at, "a lease of %s is shorter than three probes of %s", showSpan(f.Lease), showSpan(f.Probe))
+	}
 	for _, at := range f.Join {
 		if !f.allows(at.Addr()) {
 			return misrule("fleet.join", "%s is not among fleet.allow", at)
--- /dev/null
+++ b/cmd/rehearse/lowest.go
@@ -0,0 +1,68 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"valveglade/fleet"
+	"valveglade/logic/view"
+	"valveglade/member"
+)
+
+// lowestCommand is the baseline of ownership: whoever sees itself as the lowest name of its own view is the owner, without
+// terms and voters, and sends the same orders.
+func lowestCommand() *cobra.Command {
+	var name, listen, advertise, join, order string
+	c := &cobra.Command{Use: "lowest", Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+		p := member.Papers{Name: name, Listen: netip.MustParseAddrPort(listen), Advertise: netip.MustParseAddrPort(advertise),
+			Allow: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Probe: 300 * time.Millisecond, Terms: view.Defaults()}
+		for _, a := range strings.Split(join, ",") {
+			p.Join = append(p.Join, netip.MustParseAddrPort(a))
+		}
+		log, err := zap.NewProduction(zap.ErrorOutput(zap.CombineWriteSyncers(os.Stderr)))
+		if err != nil {
+			return err
+		}
+		m, err := member.New(p, log)
+		if err != nil {
+			return err
+		}
+		m.Say(view.Serving, false, view.Load{})
+		go m.Run(cmd.Context())
+		changes, stop := m.Changes()
+		defer stop()
+		begin := func() context.CancelFunc {
+			ctx, end := context.WithCancel(cmd.Context())
+			go fleet.Orders("o", name, order, orderEvery)(ctx, 0)
+			return end
+		}
+		end := func() {}
+		owns := false
+		for range changes {
+			v := m.View()
+			if lowest := v.Members[0].Name == name && v.Sure <= view.Narrow; lowest != owns {
+				if owns = lowest; !owns {
+					end()
+					continue
+				}
+				end = begin()
+			}
+		}
+		return nil
+	}}
+	c.Flags().StringVar(&name, "name", "", "")
+	c.Flags().StringVar(&listen, "listen", "", "")
+	c.Flags().StringVar(&advertise, "advertise", "", "")
+	c.Flags().StringVar(&join, "join", "", "")
+	c.Flags().StringVar(&order, "order", "", "")
+	return c
+}
+
+// orderEvery is how often owners send orders in a rehearsal.
+const orderEvery = 20 * time.Millisecond
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -30,6 +30,7 @@
 	{"view", "the fleet's view: deaths, flapping, two under one name, releases, with the fleet off beside", playView},
 	{"view-faults", "the fleet's view between cuts and loss, the gossip library alone beside", playViewFaults},
 	{"view-drawn", "the fleet's view under faults drawn from the seed, or read from --script", playViewDrawn},
+	{"owner", "one owner at a time, between deaths, sleeps and cuts, the lowest name of the view as the owner beside", playOwner},
 	{"view-cost", "what the view costs: 20, 100 and 300 members in one process, at rest and after a fifth have died", playViewCost},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
 }
@@ -133,7 +134,7 @@
 	run.Flags().StringVar(&p.History, "history", "", "write all that was said and done to this file, as JSON lines")
 	run.Flags().StringVar(&p.Script, "script", "", "play the faults of this file instead of drawing them, where a rehearsal draws")
 	run.Flags().StringVar(&path, "json", "", "write the figures to this file too")
-	root.AddCommand(run, echoCommand(), bareCommand())
+	root.AddCommand(run, echoCommand(), bareCommand(), lowestCommand())
 	return root
 }
 
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,348 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"valveglade/logic/owner"
+)
+
+// post carries messages among parts in this process, late, lost and doubled as it is told.
+type post struct {
+	mu    sync.Mutex
+	parts map[string]func(string, []byte)
+	cut   map[[2]string]bool
+	loss  float64
+	late  time.Duration
+}
+
+type line struct {
+	*post
+	name string
+}
+
+func (l line) Receive(f func(string, []byte)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.parts[l.name] = f
+}
+
+func (l line) Send(to string, payload []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cut[[2]string{l.name, to}] || l.name != to && rand.Float64() < l.loss {
+		return
+	}
+	for n := 1 + rand.IntN(5)/4; n > 0; n-- {
+		time.AfterFunc(time.Duration(rand.Int64N(int64(l.late)+1)), func() {
+			l.mu.Lock()
+			f := l.parts[to]
+			l.mu.Unlock()
+			if f != nil {
+				f(l.name, payload)
+			}
+		})
+	}
+}
+
+func (p *post) alone(name string, alone bool, others ...string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, o := range others {
+		p.cut[[2]string{name, o}], p.cut[[2]string{o, name}] = alone, alone
+	}
+}
+
+// worker writes down who ordered what: it knows what must hold of it.
+type worker struct {
+	fence  *Fence
+	mu     sync.Mutex
+	now    map[string]uint64 // who is at work, and under which term
+	most   int               // at once
+	terms  []uint64
+	fell   int
+	orders int
+}
+
+func (w *worker) work(name string) Work {
+	return func(ctx context.Context, term uint64) error {
+		w.mu.Lock()
+		w.now[name] = term
+		w.most = max(w.most, len(w.now))
+		if n := len(w.terms); n > 0 && term <= w.terms[n-1] {
+			w.fell++
+		}
+		w.terms = append(w.terms, term)
+		w.mu.Unlock()
+		defer func() {
+			w.mu.Lock()
+			delete(w.now, name)
+			w.mu.Unlock()
+		}()
+		for {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(5 * time.Millisecond):
+			}
+			if err := w.fence.Pass("o", term); err != nil {
+				return err
+			}
+			w.mu.Lock()
+			w.orders++
+			w.mu.Unlock()
+		}
+	}
+}
+
+func (w *worker) owner() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for name := range w.now {
+		return name
+	}
+	return ""
+}
+
+func (w *worker) ordered() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.orders
+}
+
+// court is three parts that vote and stand.
+type court struct {
+	t       *testing.T
+	post    *post
+	worker  *worker
+	folders map[string]string
+	ends    map[string]func()
+	fit     map[string]*atomic.Bool
+}
+
+var names = []string{"a", "b", "c"}
+
+func newCourt(t *testing.T, disks bool) *court {
+	t.Parallel()
+	c := &court{t: t, post: &post{parts: map[string]func(string, []byte){}, cut: map[[2]string]bool{}, late: 5 * time.Millisecond},
+		worker: &worker{fence: NewFence(), now: map[string]uint64{}}, folders: map[string]string{}, ends: map[string]func(){},
+		fit: map[string]*atomic.Bool{}}
+	for _, name := range names {
+		if disks {
+			c.folders[name] = t.TempDir()
+		}
+		c.fit[name] = &atomic.Bool{}
+		c.fit[name].Store(true)
+		c.start(name)
+	}
+	t.Cleanup(func() {
+		for _, name := range names {
+			c.ends[name]()
+		}
+		w := c.worker
+		if w.most > 1 || w.fell > 0 || w.orders == 0 {
+			t.Errorf("%d at once, %d terms fell, %d orders: %v", w.most, w.fell, w.orders, w.terms)
+		}
+	})
+	return c
+}
+
+const lease = 600 * time.Millisecond
+
+func (c *court) start(name string) {
+	fit := c.fit[name]
+	f, err := New(Seal{Name: name, Voters: names, Span: owner.Span{Lease: lease.Seconds(), Drift: 0.01, Margin: 0.05}, Folder: c.folders[name],
+		Fit: func() error {
+			if !fit.Load() {
+				return errors.New("not fit")
+			}
+			return nil
+		}}, line{c.post, name}, zap.NewNop())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	f.Stand("o", c.worker.work(name))
+	ctx, end := context.WithCancel(context.Background())
+	var over sync.WaitGroup
+	over.Go(func() { f.Run(ctx) })
+	c.ends[name] = sync.OnceFunc(func() { end(); over.Wait() })
+}
+
+// owned waits for an owner that is none of some, and gives it.
+func (c *court) owned(not ...string) string {
+	c.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if who := c.worker.owner(); who != "" && (len(not) == 0 || who != not[0]) {
+			return who
+		}
+	}
+	c.t.Fatalf("nobody owns it but %v", not)
+	return ""
+}
+
+func others(name string) []string {
+	var all []string
+	for _, n := range names {
+		if n != name {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
+// One owns at a time: cut off it gives up and another takes over, back it stands behind; whoever leaves hands over.
+func TestOneOwner(t *testing.T) {
+	c := newCourt(t, true)
+	first := c.owned()
+	c.post.alone(first, true, others(first)...)
+	second := c.owned(first)
+	c.post.alone(first, false, others(first)...)
+	began := time.Now()
+	c.ends[second]()
+	third := c.owned(second)
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("handed over after %v", took)
+	}
+	c.start(second)
+	// No change for want of a reason, at a loss of a tenth.
+	c.post.mu.Lock()
+	c.post.loss = 0.1
+	c.post.mu.Unlock()
+	time.Sleep(4 * lease)
+	if who := c.worker.owner(); who != third {
+		t.Errorf("%s gave way to %q for nothing", third, who)
+	}
+	// Who is not fit does not stand, and who owns goes on.
+	for _, name := range names {
+		c.fit[name].Store(false)
+	}
+	time.Sleep(2 * lease)
+	if who := c.worker.owner(); who != third {
+		t.Errorf("%s gave way to %q for being pressed", third, who)
+	}
+	c.ends[third]()
+	time.Sleep(2 * lease)
+	if who := c.worker.owner(); who != "" {
+		t.Errorf("%s stands though it is not fit", who)
+	}
+}
+
+// All start again, with what they had promised and without: terms go on above all former ones, and there is one owner.
+func TestAllAgain(t *testing.T) {
+	for _, disks := range []bool{true, false} {
+		t.Run(fmt.Sprint(disks), func(t *testing.T) {
+			c := newCourt(t, disks)
+			for range 2 {
+				c.owned()
+				for _, name := range names {
+					c.ends[name]()
+				}
+				for _, name := range names {
+					c.start(name)
+				}
+			}
+			c.owned()
+			for begin := c.worker.ordered(); c.worker.ordered() == begin; time.Sleep(time.Millisecond) {
+			}
+		})
+	}
+}
+
+// A voter whose disk fails is silent, the others carry on; no owner without a majority, and one again once it is back.
+func TestDiskFails(t *testing.T) {
+	c := newCourt(t, true)
+	c.owned()
+	for _, name := range names[:2] { // a folder that is no folder any more
+		os.RemoveAll(c.folders[name])
+		os.WriteFile(c.folders[name], nil, 0o600)
+	}
+	for end := time.Now().Add(20 * time.Second); c.worker.owner() != ""; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("owned without a majority that can keep its word")
+		}
+	}
+	os.Remove(c.folders["a"])
+	os.Mkdir(c.folders["a"], 0o700)
+	c.owned()
+}
+
+// What was promised is found again; what is spoilt, another's, or older than half a lease is not trusted.
+func TestPromises(t *testing.T) {
+	at := time.Now()
+	f := &Fleet{seal: Seal{Name: "a", Folder: t.TempDir(), Span: owner.Span{Lease: 1}, Now: func() time.Time { return at }}}
+	found := func() (int, bool, bool) {
+		kept, whole, err := f.found()
+		return len(kept), whole, err != nil
+	}
+	check := func(what string, n int, whole, failed bool) {
+		t.Helper()
+		if gotN, gotWhole, gotFailed := found(); gotN != n || gotWhole != whole || gotFailed != failed {
+			t.Errorf("%s: %d promises, whole %v, error %v", what, gotN, gotWhole, gotFailed)
+		}
+	}
+	check("nothing", 0, false, false)
+	if err := f.keep(map[string]owner.Promise{"o": {Term: 7, Holder: owner.Life{Name: "b", Birth: 1 << 63}}}); err != nil {
+		t.Fatal(err)
+	}
+	check("fresh", 1, true, false)
+	at = at.Add(time.Second)
+	check("older", 1, false, false)
+	at = at.Add(-time.Hour)
+	check("from the future", 1, false, false)
+	at = at.Add(time.Hour - time.Second)
+	f.seal.Name = "b"
+	check("another's", 0, false, true)
+	f.seal.Name = "a"
+	path := filepath.Join(f.seal.Folder, promiseFile)
+	text, _ := os.ReadFile(path)
+	text[len(text)-3] ^= 1
+	os.WriteFile(path, text, 0o600)
+	check("spoilt", 0, false, true)
+	os.WriteFile(path, text[:3], 0o600)
+	check("cut short", 0, false, true)
+}
+
+// A message reads as it was written; nothing else is read.
+func TestMessages(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := owner.Message{Word: owner.Word(rapid.IntRange(0, 6).Draw(t, "word")), Office: rapid.StringN(1, 9, 64).Draw(t, "office"),
+			From: owner.Life{Name: rapid.StringN(0, 9, 64).Draw(t, "from"), Birth: rapid.Uint64().Draw(t, "birth")},
+			To:   rapid.StringN(0, 9, 64).Draw(t, "to"), Term: rapid.Uint64Range(0, mostTerm).Draw(t, "term"), Round: rapid.Uint64().Draw(t, "round"),
+			Left: rapid.Float64Range(0, 9).Draw(t, "left")}
+		b := encode(m)
+		if got, err := decode(b); err != nil || got != m {
+			t.Fatalf("%+v, %v", got, err)
+		}
+		if _, err := decode(b[:rapid.IntRange(0, len(b)-1).Draw(t, "cut")]); err == nil {
+			t.Fatal("read though cut short")
+		}
+	})
+	if _, err := decode(encode(owner.Message{Office: "o", Term: mostTerm + 1})); err == nil {
+		t.Error("an absurd term is read")
+	}
+}
+
+// Faulty seals and names are refused.
+func TestSeals(t *testing.T) {
+	for n := range 9 {
+		_, err := New(Seal{Voters: make([]string, n)}, nil, nil)
+		if (err == nil) != (n == 3 || n == 5 || n == 7) {
+			t.Errorf("%d voters: %v", n, err)
+		}
+	}
+	f, _ := New(Seal{Voters: names}, nil, nil)
+	if f.Stand("", nil) == nil || f.Stand("o", nil) != nil || f.Stand("o", nil) == nil {
+		t.Error("an office without a name, or stood for twice")
+	}
+}
--- /dev/null
+++ b/fleet/packet.go
@@ -0,0 +1,70 @@
+package fleet
+
+import (
+	"encoding/binary"
+	"errors"
+	"math"
+
+	"valveglade/logic/owner"
+)
+
+// A message between candidate and voter: "VO", format 1, the word, then office, from, the sender's birth (8), to, term (8),
+// round (8), seconds left (8, a float). Text is a byte of length and then the bytes, numbers are big endian. docs/owner.md
+// has the words.
+const (
+	messageMagic = "VO\x01"
+	mostLetters  = 64
+)
+
+var errNotOurs = errors.New("no message of an office")
+
+func encode(m owner.Message) []byte {
+	out := append([]byte(messageMagic), byte(m.Word))
+	out = appendText(out, m.Office)
+	out = appendText(out, m.From.Name)
+	out = binary.BigEndian.AppendUint64(out, m.From.Birth)
+	out = appendText(out, m.To)
+	out = binary.BigEndian.AppendUint64(out, m.Term)
+	out = binary.BigEndian.AppendUint64(out, m.Round)
+	return binary.BigEndian.AppendUint64(out, math.Float64bits(m.Left))
+}
+
+func appendText(out []byte, s string) []byte { return append(append(out, byte(len(s))), s...) }
+
+func decode(b []byte) (m owner.Message, err error) {
+	if len(b) < 4 || string(b[:3]) != messageMagic {
+		return m, errNotOurs
+	}
+	m.Word = owner.Word(b[3])
+	b = b[4:]
+	text := func() string {
+		if len(b) == 0 || len(b) < 1+int(b[0]) {
+			b, err = nil, errNotOurs
+			return ""
+		}
+		s := string(b[1 : 1+b[0]])
+		b = b[1+len(s):]
+		return s
+	}
+	number := func() uint64 {
+		if len(b) < 8 {
+			b, err = nil, errNotOurs
+			return 0
+		}
+		n := binary.BigEndian.Uint64(b)
+		b = b[8:]
+		return n
+	}
+	m.Office, m.From.Name, m.From.Birth, m.To = text(), text(), number(), text()
+	m.Term, m.Round, m.Left = number(), number(), math.Float64frombits(number())
+	switch {
+	case err != nil:
+		return owner.Message{}, err
+	case m.Word > owner.Refused || m.Office == "" || len(m.Office) > mostLetters || m.Term > mostTerm || !(m.Left >= 0):
+		return owner.Message{}, errNotOurs
+	}
+	return m, nil
+}
+
+// mostTerm is past what terms could come to: they begin at the wall clock in milliseconds, and rise by one with each owner.
+const mostTerm = 1 << 53
--- /dev/null
+++ b/fleet/swarm_test.go
@@ -0,0 +1,169 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rpc"
+)
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "fleet")
+	if err == nil {
+		program, err = rig.Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const lease, patience = time.Second, 40 * time.Second
+
+// court is four processes of the program, three of which vote, that all stand for one office, and the worker that takes its
+// owner's orders.
+type court struct {
+	*rig.Swarm
+	t      *testing.T
+	worker *rig.Worker
+}
+
+func swarm(t *testing.T, folders bool) *court {
+	t.Helper()
+	t.Parallel()
+	worker, err := rig.NewWorker(true, rig.NewHistory())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := rig.NewSwarm(rig.Plan{Program: program, Names: []string{"n1", "n2", "n3", "n4"}, Slack: time.Second, Seed: 1, Folders: folders,
+		Laws: []string{"fleet.voters n1 n2 n3", "fleet.lease " + lease.String(), "fleet.office o " + worker.Address() + " 10ms"},
+		Site: rig.Site{Cores: 1, MemoryMB: 64, Sockets: 256, Stop: 2 * time.Second, Grace: time.Second, Callers: 1,
+			Methods: []rig.SiteMethod{{Name: "lookup", Kind: string(rpc.Idempotent), Target: 0.5, Deadline: 1, Criticality: 1}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &court{s, t, worker}
+	t.Cleanup(func() {
+		j := rig.Judge(worker.Orders(time.Time{}), lease)
+		if j.AtOnce > 1 || j.Late+j.Falling+j.Shared > 0 {
+			t.Errorf("%v", j)
+		}
+		s.Check.Finish()
+		for _, b := range s.Check.Breaches() {
+			t.Error(b)
+		}
+		if t.Failed() {
+			for _, name := range s.Names() {
+				lines := strings.Split(s.Node(name).Log(), "\n")
+				t.Logf("%s: %s", name, strings.Join(lines[max(0, len(lines)-12):], "\n"))
+			}
+		}
+		s.Close()
+		worker.Close()
+	})
+	return c
+}
+
+func (c *court) run(script string) {
+	c.t.Helper()
+	if err := c.Run(script); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// owner waits for one whose orders have their effects, and who is not a given one.
+func (c *court) owner(not string) string {
+	c.t.Helper()
+	who := ""
+	if _, ok := c.Until(patience, func() bool { who = c.worker.Owner(200 * time.Millisecond); return who != "" && who != not }); !ok {
+		c.t.Fatalf("nobody but %q owns it", not)
+	}
+	return who
+}
+
+// The owner is killed, another takes over; all are started again, with what they promised and without, and terms go on.
+func TestKilledOwner(t *testing.T) {
+	for _, folders := range []bool{true, false} {
+		t.Run(fmt.Sprint("folders ", folders), func(t *testing.T) {
+			c := swarm(t, folders)
+			first := c.owner("")
+			c.run("0s kill " + first)
+			c.owner(first)
+			c.run("0s start " + first)
+			before := len(c.worker.Orders(time.Time{}))
+			for _, name := range c.Names() {
+				c.run("0s kill " + name)
+			}
+			for _, name := range c.Names() {
+				c.run("0s start " + name)
+			}
+			if _, ok := c.Until(patience, func() bool { return len(c.worker.Orders(time.Time{})) > before+9 }); !ok {
+				t.Fatal("nobody owns it any more")
+			}
+			if all := c.worker.Orders(time.Time{}); all[len(all)-1].Term <= all[before-1].Term {
+				t.Errorf("term %d after %d", all[len(all)-1].Term, all[before-1].Term)
+			}
+		})
+	}
+}
+
+// One that is stopped past its lease and continued has no effect any more: whatever it had in its hands is refused, or never
+// sent, and it gives up.
+func TestSleptOwner(t *testing.T) {
+	c := swarm(t, true)
+	for range 2 {
+		sleeper := c.owner("")
+		from := c.History.Now()
+		c.run("0s stop " + sleeper)
+		c.owner(sleeper)
+		c.run("0s cont " + sleeper)
+		if _, ok := c.Until(patience, func() bool { n, _ := c.History.Lines(sleeper, "office given up", from); return n > 0 }); !ok {
+			t.Errorf("%s does not give up", sleeper)
+		}
+	}
+}
+
+// Cut off with no majority, or deaf, an owner gives up by itself; the others have one, and whoever is back stands behind.
+func TestCutOwner(t *testing.T) {
+	c := swarm(t, true)
+	first := c.owner("")
+	c.run("0s cut *>" + first) // it speaks, and does not hear
+	second := c.owner(first)
+	c.run("0s heal")
+	rest := []string{}
+	for _, name := range c.Names() {
+		if name != second {
+			rest = append(rest, name)
+		}
+	}
+	c.run("0s split " + second + "|" + strings.Join(rest, ","))
+	third := c.owner(second)
+	from := time.Now()
+	c.run("0s heal")
+	time.Sleep(2 * lease)
+	if j := rig.Judge(c.worker.Orders(from), time.Minute); j.Changes > 0 || c.worker.Owner(lease) != third {
+		t.Errorf("%s gave way to one that came back: %v", third, j)
+	}
+}
+
+// Whoever leaves hands over at once; operators are shown who owns what.
+func TestDrainedOwner(t *testing.T) {
+	c := swarm(t, true)
+	first := c.owner("")
+	table, err := exec.Command(program, "fleet", "owners", "--socket", c.Socket(first)).CombinedOutput()
+	if err != nil || !strings.Contains(string(table), "owner") || !strings.Contains(string(table), "\no ") {
+		t.Errorf("%v: %s", err, table)
+	}
+	c.run("0s notice " + first)
+	c.owner(first)
+}
--- a/member/member.go
+++ b/member/member.go
@@ -54,6 +54,13 @@
 	dropped context.Context // ends with Drop
 	drop    context.CancelFunc
 
+	offices atomic.Pointer[func() any] // told with the view
+	receive atomic.Pointer[func(from string, message []byte)]
+	notes   struct { // where members were last known to be, also of those that have been lost since
+		sync.Mutex
+		at map[string]netip.AddrPort
+	}
+
 	mu   sync.Mutex
 	subs map[chan struct{}]struct{}
 	self view.Event // what was last said of ourselves
@@ -91,7 +98,7 @@
 		subs: map[chan struct{}]struct{}{}}
 	m.dropped, m.drop = context.WithCancel(context.Background())
 	w.lag, w.wake = seconds(p.Terms.Lag), seconds(p.Terms.Wake)
-	w.heard, w.answer = m.tell, m.present
+	w.heard, w.answer, w.noted = m.tell, m.present, m.noted
 	var seeds []string
 	for _, a := range p.Join {
 		seeds = append(seeds, a.String())
@@ -165,6 +172,54 @@
 	}
 }
 
+// Offices has the local socket tell what f gives, beside the view.
+func (m *Member) Offices(f func() any) { m.offices.Store(&f) }
+
+// Receive has f told of messages from other members, and from this one to itself. It must not wait.
+func (m *Member) Receive(f func(from string, message []byte)) { m.receive.Store(&f) }
+
+// Send puts a message of some hundred bytes on its way to a member, by its name; it promises nothing. Members that the view
+// has lost are sent to where they last were: whether they are there is not the view's to decide for whoever asks.
+func (m *Member) Send(to string, message []byte) {
+	if len(message) > mostNote || m.View().Sure == view.Withdrawn {
+		return
+	}
+	if to == m.papers.Name {
+		m.noted(to, to, message)
+		return
+	}
+	m.notes.Lock()
+	at, known := m.notes.at[to]
+	m.notes.Unlock()
+	if known && m.wire.late() < m.wire.wake {
+		m.wire.send(kindNote, appendNote(nil, m.papers.Name, to, message), at)
+	}
+}
+
+// noted passes a message on to whoever receives them here.
+func (m *Member) noted(from, to string, message []byte) {
+	if f := m.receive.Load(); f != nil && to == m.papers.Name && m.View().Sure != view.Withdrawn {
+		(*f)(from, append([]byte(nil), message...))
+	}
+}
+
+// mostPlaces bounds how many members' places are remembered: twice as many as a view holds.
+const mostPlaces = 2048
+
+// places remembers where the members of a view are.
+func (m *Member) places(v *view.View) {
+	m.notes.Lock()
+	defer m.notes.Unlock()
+	if m.notes.at == nil || len(m.notes.at) > mostPlaces {
+		m.notes.at = map[string]netip.AddrPort{}
+	}
+	for _, e := range v.Members {
+		if at, err := netip.ParseAddrPort(e.Address); err == nil {
+			m.notes.at[e.Name] = at
+		}
+	}
+}
+
 // present answers a knock.
 func (m *Member) present(name string) (view.Entry, bool) {
 	e := m.entry.Load()
@@ -286,6 +341,9 @@
 		return
 	}
 	m.view.Store(v)
+	if was == nil || v.Digest != was.Digest {
+		m.places(v)
+	}
 	m.mu.Lock()
 	for c := range m.subs {
 		signal(c)
--- a/member/packet.go
+++ b/member/packet.go
@@ -25,6 +25,7 @@
 	kindGossip = 'g' // the gossip library's own
 	kindTeach  = 't' // a packet: a later life under your name is known
 	kindKnock  = 'k' // a stream: are you there
+	kindNote   = 'n' // a packet: a message from one member to another, by name
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -159,6 +160,19 @@
 	return version, digest, !r.short
 }
 
+// A note is the sender's name, the receiver's, and then the message, of at most mostNote bytes.
+const mostNote = mostPacket - packetHead - 2*(1+mostName)
+
+func appendNote(out []byte, from, to string, message []byte) []byte {
+	return append(appendText(appendText(out, from), to), message...)
+}
+
+func readNote(b []byte) (from, to string, message []byte, ok bool) {
+	r := reader{b: b}
+	from, to = r.text(), r.text()
+	return from, to, r.b, !r.short
+}
+
 // The word to one born too early: the later life, and its name.
 func appendTeach(out []byte, e view.Entry) []byte { return appendText(appendLife(out, e.Life), e.Name) }
 
--- a/member/wire.go
+++ b/member/wire.go
@@ -25,7 +25,8 @@
 	udp    *net.UDPConn
 	tcp    *net.TCPListener
 	log    *zap.Logger
-	heard  func(view.Event)                     // of what is ours and not gossip's
+	heard  func(view.Event) // of what is ours and not gossip's
+	noted  func(from, to string, message []byte)
 	answer func(name string) (view.Entry, bool) // to a knock
 
 	transport atomic.Pointer[transport] // the one in force
@@ -89,7 +90,8 @@
 		}
 	}
 	w := &wire{listen: at, allow: allow, udp: udp, tcp: tcp, log: log, told: map[cause]time.Time{},
-		streams: make(chan struct{}, mostStreams), heard: func(view.Event) {}}
+		streams: make(chan struct{}, mostStreams), heard: func(view.Event) {},
+		noted: func(string, string, []byte) {}}
 	w.beat()
 	return w, nil
 }
@@ -173,6 +175,12 @@
 		}
 	case kind == kindGossip:
 		w.gossip(payload, from)
+	case kind == kindNote:
+		if who, to, message, ok := readNote(payload); ok {
+			w.noted(who, to, message)
+		} else {
+			w.tell(unreadable, from.String(), errCut)
+		}
 	default:
 		w.tell(foreign, from.String(), fmt.Errorf("a packet of kind %q", kind))
 	}
--- a/rig/swarm.go
+++ b/rig/swarm.go
@@ -36,6 +36,7 @@
 	Names   []string // of the first processes
 	Site    Site
 	Laws    []string // further lines of each one's operators' file
+	Folders bool     // each has a folder that lasts
 	Off     bool     // no fleet: the same processes, which do not talk
 	Zones   int      // how many zones they are spread over, 0 for none
 	Seeds   int      // how many addresses each is given to join; 3 if 0
@@ -187,6 +188,12 @@
 			if s.plan.Zones > 0 {
 				laws = append(laws, fmt.Sprintf("fleet.zone z%d", 1+slot%s.plan.Zones))
 			}
+			if s.plan.Folders {
+				if err := os.MkdirAll(s.Folder(name), 0o700); err != nil {
+					return nil, err
+				}
+				laws = append(laws, "fleet.state "+s.Folder(name))
+			}
 			laws = append(laws, s.plan.Laws...)
 		}
 		path := filepath.Join(s.dir, name+".conf")
@@ -205,6 +212,9 @@
 // Socket is the local socket of a process.
 func (s *Swarm) Socket(name string) string { return filepath.Join(s.dir, name+".sock") }
 
+// Folder is where what a process keeps lasts, under a plan with folders.
+func (s *Swarm) Folder(name string) string { return filepath.Join(s.dir, name+".state") }
+
 func (s *Swarm) start(n *Node) error {
 	if n.bare == nil {
 		return n.Program.Start()
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"reflect"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"valveglade/charter"
+	"valveglade/fleet"
+	"valveglade/logic/owner"
+	"valveglade/logic/pressure"
 	"valveglade/logic/view"
 	"valveglade/member"
 )
@@ -53,7 +58,22 @@
 func (s *Server) takePart(ctx, all context.Context, m *member.Member) error {
 	part, end := context.WithCancel(all)
 	defer end()
-	s.group.Go(func() error { return m.Run(part) })
+	f, err := s.standForOffices(m)
+	if err != nil {
+		return err
+	}
+	s.group.Go(func() error {
+		var group errgroup.Group
+		offices, over := context.WithCancel(context.WithoutCancel(part))
+		group.Go(func() error { return m.Run(part) })
+		if f != nil {
+			group.Go(func() error { return f.Run(offices) })
+			context.AfterFunc(part, over)
+		}
+		err := group.Wait()
+		over()
+		return err
+	})
 	every := time.NewTicker(sayEvery)
 	defer every.Stop()
 	var load view.Load
@@ -69,6 +89,9 @@
 			return nil
 		case <-ctx.Done():
 			m.Say(view.Leaving, false, load)
+			if f != nil {
+				f.Leave()
+			}
 			sleep(all, s.charter.Load().Stop-partBefore)
 			return nil
 		case <-every.C:
@@ -76,6 +99,44 @@
 	}
 }
 
+// marginShare of a lease is what an owner stops before its end, on top of what clocks may drift: its work has to return in
+// that time.
+const marginShare = 0.1
+
+// standForOffices has this app server vote, and stand for the office of the operators' file, as far as they have said so; nil
+// otherwise.
+func (s *Server) standForOffices(m *member.Member) (*fleet.Fleet, error) {
+	laws, c := s.fleetLaws, s.charter.Load()
+	if len(laws.Voters) == 0 {
+		return nil, nil
+	}
+	f, err := fleet.New(fleet.Seal{Name: c.Name, Voters: laws.Voters, Folder: laws.State, Fit: func() error { return s.fit(m) },
+		Span: owner.Span{Lease: laws.Lease, Drift: laws.Drift, Margin: laws.Lease * marginShare}}, m, s.log)
+	if err != nil {
+		return nil, err
+	}
+	if o := laws.Office; o.Name != "" {
+		if err := f.Stand(o.Name, fleet.Orders(o.Name, c.Name, o.Order.String(), seconds(o.Every))); err != nil {
+			return nil, err
+		}
+	}
+	m.Offices(func() any { return f.Owners() })
+	return f, nil
+}
+
+// fit tells why this app server should not stand for an office now.
+func (s *Server) fit(m *member.Member) error {
+	switch sure := m.View().Sure; {
+	case sure >= view.Narrow:
+		return fmt.Errorf("the view is %v", sure)
+	case s.stage() != view.Serving:
+		return errors.New("it is cold")
+	case !s.healthy() || s.press.level.Load() >= int32(pressure.Pressed):
+		return errors.New("it is pressed, or its work hangs")
+	}
+	return nil
+}
+
 // stage is how far the app server has come: at full strength once its kernel is up and has warmed.
 func (s *Server) stage() view.State {
 	if at := s.warmAt.Load(); at == 0 || clock() < float64(at)/1e9 {
