--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"valveglade/member"
 	"valveglade/rig"
 )
 
@@ -229,6 +230,14 @@
 	p.untilAlike(on, 15*time.Second, n, all)
 	p.atMost("joined.all", time.Since(began).Seconds(), 10)
 
+	// At rest, once what the joining has set off has been passed around.
+	if !p.brief {
+		time.Sleep(3 * time.Second)
+		if err := p.atRest(on, off, all, 3*time.Second); err != nil {
+			return err
+		}
+	}
+
 	// Nobody does anything to the first half; to the second, all kinds of things.
 	still := all[:6]
 	length := 12 * time.Second
@@ -244,10 +253,6 @@
 		})
 	}
 	from := on.History.Now()
-	cpu := map[string]time.Duration{}
-	for _, name := range still {
-		cpu[name] = on.CPU(name)
-	}
 	const script = `
 		0s    kill n12
 		0s    stop n9
@@ -322,6 +327,39 @@
 	return p.keep(on)
 }
 
+// atRest measures what the fleet costs a process that has nothing to do: bytes and packets of the fleet, and processor time on
+// top of the same process with the fleet off.
+func (p *play) atRest(on, off *rig.Swarm, all []string, span time.Duration) error {
+	look := func() (cpuOn, cpuOff time.Duration, bytes, packets int64, err error) {
+		for _, name := range all {
+			shown, err := member.Ask(on.Socket(name))
+			if err != nil {
+				return 0, 0, 0, 0, err
+			}
+			bytes += shown.Bytes[0] + shown.Bytes[1]
+			packets += shown.Packets[0]
+			cpuOn += on.CPU(name)
+			cpuOff += off.CPU(name)
+		}
+		return cpuOn, cpuOff, bytes, packets, nil
+	}
+	on0, off0, bytes0, packets0, err := look()
+	if err != nil {
+		return err
+	}
+	time.Sleep(span)
+	on1, off1, bytes1, packets1, err := look()
+	if err != nil {
+		return err
+	}
+	per := span.Seconds() * float64(len(all))
+	p.atMost("rest.cpu.share", ((on1-on0)-(off1-off0)).Seconds()/per, 0.01)
+	p.inform("rest.cpu.share.off", (off1-off0).Seconds()/per)
+	p.inform("rest.bytes.s", float64(bytes1-bytes0)/per)
+	p.inform("rest.packets.s", float64(packets1-packets0)/per)
+	return nil
+}
+
 // flapped counts the views that differ by what became of one member.
 func flapped(s *rig.Swarm, viewer, name string, from, to float64) int {
 	n := 0
