--- a/cmd/rehearse/client.go
+++ b/cmd/rehearse/client.go
@@ -73,6 +73,7 @@
 
 // playClient is the rehearsal of the client library.
 func playClient(p *play) error {
+	rig.Prepare()
 	goroutines, open := runtime.NumGoroutine(), descriptors()
 	var breaches []rig.Breach
 	sums := map[string]float64{}
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -4,19 +4,25 @@
 	"bytes"
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"valveglade/rig"
 )
 
-var program string
+var program, rehearse string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "rehearse")
 	if err == nil {
 		program, err = rig.Build(dir)
 	}
+	if err == nil { // for the baselines, which are hidden commands of this program
+		rehearse = filepath.Join(dir, "rehearse")
+		err = exec.Command("go", "build", "-o", rehearse, "valveglade/cmd/rehearse").Run()
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
@@ -31,7 +37,7 @@
 func rules(t *testing.T, name string, must ...string) {
 	t.Helper()
 	var out bytes.Buffer
-	p := &play{Seed: 1, Program: program, brief: true, out: &out}
+	p := &play{Seed: 1, Program: program, rehearse: rehearse, brief: true, out: &out}
 	for _, r := range rehearsals {
 		if r.name != name {
 			continue
--- a/cmd/rehearse/owner.go
+++ b/cmd/rehearse/owner.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -42,12 +41,8 @@
 		return nil, nil, err
 	}
 	plan := p.plan(n)
-	self, _ := os.Executable()
-	if p.rehearse != "" {
-		self = p.rehearse
-	}
 	plan.Bare = func(name, listen, advertise string, join []string) *exec.Cmd {
-		return exec.Command(self, "lowest", "--name", name, "--listen", listen, "--advertise", advertise, "--join", strings.Join(join, ","),
+		return exec.Command(p.self(), "lowest", "--name", name, "--listen", listen, "--advertise", advertise, "--join", strings.Join(join, ","),
 			"--order", worker.Address())
 	}
 	s, err := rig.NewSwarm(plan)
--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -69,16 +69,24 @@
 func (p *play) bare(n int) rig.Plan {
 	plan := p.plan(n)
 	plan.Bare = func(name, listen, advertise string, join []string) *exec.Cmd {
-		self, _ := os.Executable()
-		if p.brief {
-			self = p.rehearse
-		}
-		return exec.Command(self, "bare", "--name", name, "--listen", listen, "--advertise", advertise, "--join",
+		return exec.Command(p.self(), "bare", "--name", name, "--listen", listen, "--advertise", advertise, "--join",
 			strings.Join(join, ","))
 	}
 	return plan
 }
 
+// self is this program's binary.
+func (p *play) self() string {
+	if p.rehearse != "" {
+		return p.rehearse
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return os.Args[0]
+	}
+	return self
+}
+
 // load asks all of some processes for a length of time, each by a caller of its own.
 func (p *play) load(s *rig.Swarm, length time.Duration, rate float64, who []string) map[string]rig.Outcome {
 	out := map[string]rig.Outcome{}
--- a/rig/process.go
+++ b/rig/process.go
@@ -27,7 +27,7 @@
 
 // spawns are carried out by one thread that never ends: the system kills a child when the thread that started it ends, which
 // is how children end with a rig that was killed.
-var spawns = func() chan func() {
+var spawns = sync.OnceValue(func() chan func() {
 	c := make(chan func())
 	go func() {
 		runtime.LockOSThread()
@@ -36,14 +36,17 @@
 		}
 	}()
 	return c
-}()
+})
+
+// Prepare starts what the rig keeps for as long as this process lives, for those who count what is left of a run.
+func Prepare() { spawns() }
 
 // run starts a command; over is told of its end, in a goroutine of its own.
 func (p *Process) run(cmd *exec.Cmd, over func(error)) (done chan struct{}, err error) {
 	cmd.Stderr = saying{p}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
-	spawns <- func() { started <- cmd.Start() }
+	spawns() <- func() { started <- cmd.Start() }
 	if err := <-started; err != nil {
 		return nil, err
 	}
