Build the program for tests of several processes in one place

The same lines stood in the tests of member and of fleet; rig.Main has them now. Assertions are as they were; the tests of rig, member and fleet pass under the race detector.

--- a/fleet/swarm_test.go
+++ b/fleet/swarm_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"os/exec"
 	"strings"
 	"testing"
@@ -14,19 +13,7 @@
 
 var program string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "fleet")
-	if err == nil {
-		program, err = rig.Build(dir)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { rig.Main(m, &program) }
 
 const lease, patience = 1500 * time.Millisecond, 40 * time.Second
 
--- a/member/swarm_test.go
+++ b/member/swarm_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 	"os/exec"
 	"slices"
 	"strings"
@@ -18,19 +16,7 @@
 
 var program string
 
-func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "member")
-	if err == nil {
-		program, err = rig.Build(dir)
-	}
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
-}
+func TestMain(m *testing.M) { rig.Main(m, &program) }
 
 // swarm is five processes of the program that have found each other, though the first two addresses that each was given are
 // dead.
--- a/rig/program.go
+++ b/rig/program.go
@@ -68,6 +68,21 @@
 	return bin, nil
 }
 
+// Main runs a package's tests with the program built for them at the path that is left in program, and ends the process.
+func Main(m interface{ Run() int }, program *string) {
+	dir, err := os.MkdirTemp("", "rig")
+	if err == nil {
+		*program, err = Build(dir)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
 // freePort gives a port that was free a moment ago.
 func freePort() (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
