Voters change through two lists, several offices, and everybody knows whose an office is

Need: voters could only be changed by stopping all that vote; one office could be set; an app server that does not own an office could not tell who does; a folder of a process that promises nothing was taken silently.

Change: fleet.voters takes the former and the next list, and a majority of each is then needed, which shares a voter with whoever runs with one of the lists alone. fleet.office takes several. A refusal names the holder (message format 2), and `valveglade fleet owners` shows it. fleet.state at an app server that is no voter ends the start.

--- a/charter/bylaws_test.go
+++ b/charter/bylaws_test.go
@@ -40,7 +40,9 @@
 		on + "fleet.advertise 0.0.0.0:7946", on + "fleet.join 8.8.8.8:7946", on + "fleet.probe 2s", on + "fleet.hold 200ms",
 		on + "fleet.zone " + strings.Repeat("x", 65), on + "fleet.socket a b",
 		on + "fleet.voters a b", on + "fleet.voters a b c d", on + "fleet.voters a b a", on + "fleet.lease 5s", on + "fleet.voters a b c\nfleet.lease 600ms",
-		on + "fleet.voters a b c\nfleet.drift 30%", on + "fleet.voters a b c\nfleet.office sweep", on + "fleet.voters a b c\nfleet.office sweep 10.0.0.9 1s"} {
+		on + "fleet.voters a b c\nfleet.drift 30%", on + "fleet.voters a b c\nfleet.office sweep", on + "fleet.voters a b c\nfleet.office sweep 10.0.0.9 1s",
+		on + "fleet.voters a b c / a b", on + "fleet.voters a b c / a b d / a e d", on + "fleet.voters a b c\nfleet.office s 10.0.0.9:1 1s / s 10.0.0.9:2 1s",
+		on + "fleet.voters a b c\nfleet.office s 10.0.0.9:1 1s /"} {
 		_, err := ParseBylaws("op.conf", []byte(text))
 		fmt.Println(err)
 	}
@@ -52,6 +54,10 @@
 	fmt.Println(b.Fleet.Suits(c))
 	c.Name, c.Listen = "n1", b.Fleet.Listen
 	fmt.Println(b.Fleet.Suits(c))
+	b, err = ParseBylaws("op.conf", []byte(on+"fleet.voters a b c / a b d\nfleet.state /s\nfleet.office s 10.0.0.9:1 1s / t 10.0.0.9:2 2s\n"))
+	fmt.Println(len(b.Fleet.Offices), err, b.Fleet.Suits(c))
+	c.Name = "d"
+	fmt.Println(b.Fleet.Suits(c))
 	// Output:
 	// op.conf:1: fleet.listen: "10.0.0.4" is no address and port such as 10.0.0.4:7946
 	// op.conf:1: fleet.zone: fleet.listen is not set
@@ -75,10 +81,16 @@
 	// op.conf:3: fleet.drift: "30%" is not from 0.01% to 20%
 	// op.conf:3: fleet.office: a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s
 	// op.conf:3: fleet.office: "10.0.0.9" is no address and port such as 10.0.0.4:7946
+	// op.conf:2: fleet.voters: three, five or seven names are wanted, not 2
+	// op.conf:2: fleet.voters: one list of voters is wanted, or two while they are changed, not 3
+	// op.conf:3: fleet.office: s is named twice
+	// op.conf:3: fleet.office: a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s
 	// false <nil>
 	// true <nil>
 	// name: 65 bytes are more than the 64 that a fleet takes
 	// listen: 0.0.0.0:7946 is the fleet's too
+	// 2 <nil> name: "n1" is not among fleet.voters, so it promises nothing: fleet.state is a voter's
+	// <nil>
 }
 
 // What is shown is what was set, and where.
--- a/charter/fleet.go
+++ b/charter/fleet.go
@@ -1,6 +1,7 @@
 package charter
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -8,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"valveglade/logic/owner"
 	"valveglade/logic/view"
 )
 
@@ -22,11 +24,11 @@
 	Hold      float64
 	Forget    float64
 	Socket    string
-	Voters    []string // of offices; none while nobody owns anything
+	Voters    [][]string // of offices, one list, or two while they are changed; none while nobody owns anything
 	Lease     float64
 	Drift     float64 // a share
 	State     string  // a folder that lasts, for a voter's promises
-	Office    Office
+	Offices   []Office
 }
 
 // Office is a work that is done once for the whole fleet: its owner sends an order to an address, again and again.
@@ -42,6 +44,9 @@
 // What a name or a zone may be long, in bytes, and how many addresses may be given: each is tried in turn.
 const mostLetters, mostJoin = 64, 64
 
+// mostOffices is how many offices may be set: each asks its voters some times a second.
+const mostOffices = 16
+
 // mostPath is what a local socket's path may be long, on every system that has them.
 const mostPath = 100
 
@@ -162,30 +167,34 @@
 			}
 			return b.Fleet.Socket
 		}},
-	{"fleet.voters", "none|NAME...", "three, five or seven app servers, the same everywhere, a majority of which decides who owns an office",
+	{"fleet.voters", "none|NAME...[ / NAME...]", "three, five or seven app servers, a majority of which decides who owns an office; former and next list while they change",
 		func(b *Bylaws, w []string) error {
 			if len(w) == 1 && w[0] == "none" {
 				return nil
 			}
-			if n := len(w); n < 3 || n > 7 || n%2 == 0 {
-				return fmt.Errorf("three, five or seven names are wanted, not %d", n)
-			}
-			for k, name := range w {
-				if name == "" || len(name) > mostLetters {
-					return fmt.Errorf("%q is not a name of 1 to %d bytes", name, mostLetters)
-				}
-				if slices.Contains(w[:k], name) {
-					return fmt.Errorf("%s is named twice", name)
+			lists := [][]string{nil}
+			for _, name := range w {
+				if name == "/" {
+					lists = append(lists, nil)
+					continue
 				}
+				lists[len(lists)-1] = append(lists[len(lists)-1], name)
+			}
+			if err := owner.Sound(lists); err != nil {
+				return err
 			}
-			b.Fleet.Voters = w
+			b.Fleet.Voters = lists
 			return nil
 		},
 		func(b *Bylaws) string {
 			if len(b.Fleet.Voters) == 0 {
 				return "none"
 			}
-			return strings.Join(b.Fleet.Voters, " ")
+			var all []string
+			for _, list := range b.Fleet.Voters {
+				all = append(all, strings.Join(list, " "))
+			}
+			return strings.Join(all, " / ")
 		}},
 	{"fleet.lease", "TIME", "for which an office is owned without being renewed: a new owner comes within two of it",
 		func(b *Bylaws, w []string) error { return span(&b.Fleet.Lease, w, 0.5, 60) },
@@ -219,25 +228,45 @@
 			}
 			return b.Fleet.State
 		}},
-	{"fleet.office", "none|NAME ADDRESS:PORT TIME", "its owner, one app server at a time, sends an order there as often",
+	{"fleet.office", "none|NAME ADDRESS:PORT TIME[ / ...]", "its owner, one app server at a time, sends an order there as often; several after one another",
 		func(b *Bylaws, w []string) error {
 			if len(w) == 1 && w[0] == "none" {
 				return nil
 			}
-			if len(w) != 3 || w[0] == "" || len(w[0]) > mostLetters {
-				return errors.New("a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s")
-			}
-			b.Fleet.Office.Name = w[0]
-			if err := address(&b.Fleet.Office.Order, w[1:2]); err != nil {
-				return err
+			for rest := w; ; {
+				one := rest
+				if k := slices.Index(rest, "/"); k >= 0 {
+					one = rest[:k]
+				}
+				if len(one) != 3 || one[0] == "" || len(one[0]) > owner.MostLetters {
+					return errors.New("a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s")
+				}
+				o := Office{Name: one[0]}
+				if slices.ContainsFunc(b.Fleet.Offices, func(p Office) bool { return p.Name == o.Name }) {
+					return fmt.Errorf("%s is named twice", o.Name)
+				}
+				if err := address(&o.Order, one[1:2]); err != nil {
+					return err
+				}
+				if err := span(&o.Every, one[2:], 0.01, 3600); err != nil {
+					return err
+				}
+				b.Fleet.Offices = append(b.Fleet.Offices, o)
+				switch {
+				case len(one) == len(rest):
+					return nil
+				case len(b.Fleet.Offices) == mostOffices:
+					return fmt.Errorf("more than %d offices", mostOffices)
+				}
+				rest = rest[len(one)+1:]
 			}
-			return span(&b.Fleet.Office.Every, w[2:], 0.01, 3600)
 		},
 		func(b *Bylaws) string {
-			if o := b.Fleet.Office; o.Name != "" {
-				return o.Name + " " + o.Order.String() + " " + showSpan(o.Every)
+			var all []string
+			for _, o := range b.Fleet.Offices {
+				all = append(all, o.Name+" "+o.Order.String()+" "+showSpan(o.Every))
 			}
-			return "none"
+			return cmp.Or(strings.Join(all, " / "), "none")
 		}},
 }
 
@@ -331,6 +360,11 @@
 	return nil
 }
 
+// votes tells whether a name is among the voters, of either list.
+func (f Fleet) votes(name string) bool {
+	return slices.ContainsFunc(f.Voters, func(list []string) bool { return slices.Contains(list, name) })
+}
+
 // Suits refuses what the fleet's bylaws and the platform's charter make of each other.
 func (f Fleet) Suits(c *Charter) error {
 	switch {
@@ -338,6 +372,8 @@
 		return fault("name", "%d bytes are more than the %d that a fleet takes", len(c.Name), mostLetters)
 	case f.Listen == c.Listen:
 		return fault("listen", "%s is the fleet's too", c.Listen)
+	case f.State != "" && !f.votes(c.Name):
+		return fault("name", "%q is not among fleet.voters, so it promises nothing: fleet.state is a voter's", c.Name)
 	}
 	return nil
 }
--- a/cmd/rehearse/owner.go
+++ b/cmd/rehearse/owner.go
@@ -26,7 +26,7 @@
 	plan := p.plan(n)
 	plan.Off = off
 	if !off {
-		plan.Folders = true
+		plan.Folders = names(5)
 		plan.Laws = []string{"fleet.voters " + strings.Join(names(5), " "), "fleet.lease " + rehearsedLease.String(), "fleet.drift 1%",
 			fmt.Sprintf("fleet.office o %s %s", worker.Address(), orderEvery)}
 	}
--- a/cmd/valveglade/fleet.go
+++ b/cmd/valveglade/fleet.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -47,13 +48,13 @@
 				return json.NewEncoder(cmd.OutOrStdout()).Encode(owners)
 			}
 			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(t, "OFFICE\tHERE\tTERM\tLEASE LEFT\tSINCE\tLAST REFUSED FOR BEING LATE")
+			fmt.Fprintln(t, "OFFICE\tOWNER\tTERM\tLEASE LEFT\tSINCE\tLAST REFUSED FOR BEING LATE")
 			for _, o := range owners {
-				here := "no"
+				who := cmp.Or(o.Owner, "not known")
 				if o.Owns {
-					here = "owner"
+					who += " (this one)"
 				}
-				fmt.Fprintf(t, "%s\t%s\t%d\t%gs\t%s\t%s\n", o.Office, here, o.Term, o.Left, o.Since, o.Late)
+				fmt.Fprintf(t, "%s\t%s\t%d\t%gs\t%s\t%s\n", o.Office, who, o.Term, o.Left, o.Since, o.Late)
 			}
 			return t.Flush()
 		}})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -31,11 +31,12 @@
 // Seal is what this process is told of offices.
 type Seal struct {
 	Name   string
-	Voters []string // three to seven names, the same everywhere
+	Voters [][]string // the list of names, the same everywhere; former and next one while they are changed
 	Span   owner.Span
 	Folder string       // for a voter's promises; empty where nothing lasts
 	Fit    func() error // why this process should not stand now, nil if it may
 	Now    func() time.Time
+	Clock  func() float64 // a monotonic clock, in seconds; the system's if nil
 }
 
 // Work is what is done by the owner of an office. Its context ends before the lease does; it has to return then, and do
@@ -76,8 +77,11 @@
 
 // New prepares it; nothing is sent before Run.
 func New(seal Seal, carrier Carrier, log *zap.Logger) (*Fleet, error) {
-	if n := len(seal.Voters); n < 3 || n > 7 || n%2 == 0 {
-		return nil, fmt.Errorf("%d voters: three, five or seven are wanted", n)
+	if err := owner.Sound(seal.Voters); err != nil {
+		return nil, fmt.Errorf("voters: %w", err)
+	}
+	if seal.Clock == nil {
+		seal.Clock = clock
 	}
 	if seal.Now == nil {
 		seal.Now = time.Now
@@ -99,23 +103,18 @@
 // tickEvery is how often time is looked at: a fiftieth of the shortest lease.
 const tickEvery = 20 * time.Millisecond
 
-var epoch = time.Now()
-
-// now is the monotonic clock, in seconds.
-func now() float64 { return time.Since(epoch).Seconds() }
-
 // Stand has this process stand for an office, from now on. It is called before Run, or while it runs.
 func (f *Fleet) Stand(name string, work Work) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(name) == 0 || len(name) > mostLetters {
-		return fmt.Errorf("an office's name has 1 to %d bytes", mostLetters)
+	if len(name) == 0 || len(name) > owner.MostLetters {
+		return fmt.Errorf("an office's name has 1 to %d bytes", owner.MostLetters)
 	}
 	if f.offices[name] != nil {
 		return fmt.Errorf("it stands for %q already", name)
 	}
 	f.offices[name] = &office{name: name, work: work,
-		candidate: owner.NewCandidate(f.life, name, f.seal.Voters, rand.Uint64(), now(), f.seal.Span)}
+		candidate: owner.NewCandidate(f.life, name, f.seal.Voters, rand.Uint64(), f.seal.Clock(), f.seal.Span)}
 	return nil
 }
 
@@ -130,7 +129,7 @@
 	var group sync.WaitGroup
 	defer group.Wait()
 	defer end()
-	if slices.Contains(f.seal.Voters, f.seal.Name) {
+	if slices.ContainsFunc(f.seal.Voters, func(list []string) bool { return slices.Contains(list, f.seal.Name) }) {
 		group.Go(func() { f.vote(live) })
 	}
 	tick := time.NewTicker(tickEvery)
@@ -147,7 +146,7 @@
 		case m := <-f.heard:
 			f.mu.Lock()
 			if o := f.offices[m.Office]; o != nil {
-				o.candidate.Hear(m, now())
+				o.candidate.Hear(m, f.seal.Clock())
 			}
 			f.mu.Unlock()
 		case <-f.quick:
@@ -181,7 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, o := range f.offices {
-		at := now()
+		at := f.seal.Clock()
 		_, _, owns := o.candidate.Owns(at)
 		// Who owns goes on, pressed or not, until its lease or its majority ends; it is new ones that are not to stand.
 		o.candidate.Want(!left && (unfit == nil || owns), at)
@@ -263,7 +262,7 @@
 	}
 	o.late = fmt.Sprintf("%s: %v", f.seal.Now().UTC().Format(time.RFC3339), l)
 	f.log.Warn("late order refused", zap.String("office", name), zap.Uint64("term", l.Term), zap.Uint64("known", l.Known))
-	o.candidate.Overtaken(l.Known, now())
+	o.candidate.Overtaken(l.Known, f.seal.Clock())
 	signal(f.quick)
 }
 
@@ -273,7 +272,7 @@
 	var overs []chan struct{}
 	longest := 0.0
 	for _, o := range f.offices {
-		if _, left, owns := o.candidate.Owns(now()); owns {
+		if _, left, owns := o.candidate.Owns(f.seal.Clock()); owns {
 			longest = max(longest, left)
 		}
 		if o.term != 0 {
@@ -295,7 +294,7 @@
 	defer f.mu.Unlock()
 	for _, o := range f.offices {
 		if ended {
-			o.candidate.Want(false, now())
+			o.candidate.Want(false, f.seal.Clock())
 		}
 		f.send(o)
 	}
@@ -318,8 +317,9 @@
 // Owner is one office as seen from here.
 type Owner struct {
 	Office string  `json:"office"`
-	Owns   bool    `json:"owns"`
-	Term   uint64  `json:"term"` // ours if we own it, else the highest known
+	Owner  string  `json:"owner,omitempty"` // as far as is known here
+	Owns   bool    `json:"owns"`            // it is this process
+	Term   uint64  `json:"term"`            // ours if we own it, else the highest known
 	Left   float64 `json:"left_s"`
 	Since  string  `json:"since,omitempty"`
 	Late   string  `json:"late,omitempty"` // the last refusal of an order of ours
@@ -332,10 +332,15 @@
 	var all []Owner
 	for _, o := range f.offices {
 		one := Owner{Office: o.name, Term: o.candidate.Term(), Late: o.late}
-		if term, left, owns := o.candidate.Owns(now()); owns {
-			one.Owns, one.Term, one.Left = true, term, math.Round(left*1e3)/1e3
+		at := f.seal.Clock()
+		term, left, owns := o.candidate.Owns(at)
+		if owns {
+			one.Owner, one.Owns, one.Term = f.seal.Name, true, term
 			one.Since = o.since.UTC().Format(time.RFC3339)
+		} else if name, lasts, known := o.candidate.Other(at); known {
+			one.Owner, left = name, lasts
 		}
+		one.Left = math.Round(left*1e3) / 1e3
 		all = append(all, one)
 	}
 	slices.SortFunc(all, func(a, b Owner) int {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -161,7 +161,7 @@
 
 func (c *court) start(name string) {
 	fit := c.fit[name]
-	f, err := New(Seal{Name: name, Voters: names, Span: owner.Span{Lease: c.lease.Seconds(), Drift: 0.01, Margin: 0.05}, Folder: c.folders[name],
+	f, err := New(Seal{Name: name, Voters: [][]string{names}, Span: owner.Span{Lease: c.lease.Seconds(), Drift: 0.01, Margin: 0.05}, Folder: c.folders[name],
 		Fit: func() error {
 			if !fit.Load() {
 				return errors.New("not fit")
@@ -320,7 +320,7 @@
 		m := owner.Message{Word: owner.Word(rapid.IntRange(0, 6).Draw(t, "word")), Office: rapid.StringN(1, 9, 64).Draw(t, "office"),
 			From: owner.Life{Name: rapid.StringN(0, 9, 64).Draw(t, "from"), Birth: rapid.Uint64().Draw(t, "birth")},
 			To:   rapid.StringN(0, 9, 64).Draw(t, "to"), Term: rapid.Uint64Range(0, mostTerm).Draw(t, "term"), Round: rapid.Uint64().Draw(t, "round"),
-			Left: rapid.Float64Range(0, 9).Draw(t, "left")}
+			Left: rapid.Float64Range(0, 9).Draw(t, "left"), Holder: rapid.StringN(0, 9, 64).Draw(t, "holder")}
 		b := encode(m)
 		if got, err := decode(b); err != nil || got != m {
 			t.Fatalf("%+v, %v", got, err)
@@ -337,12 +337,21 @@
 // Faulty seals and names are refused.
 func TestSeals(t *testing.T) {
 	for n := range 9 {
-		_, err := New(Seal{Voters: make([]string, n)}, nil, nil)
+		var list []string
+		for k := range n {
+			list = append(list, fmt.Sprint(k))
+		}
+		_, err := New(Seal{Voters: [][]string{list}}, nil, nil)
 		if (err == nil) != (n == 3 || n == 5 || n == 7) {
 			t.Errorf("%d voters: %v", n, err)
 		}
 	}
-	f, _ := New(Seal{Voters: names}, nil, nil)
+	for _, lists := range [][][]string{nil, {names, names, names}, {{"a", "b", "a"}}, {names, {"a", "b"}}, {{"a", "b", ""}}} {
+		if _, err := New(Seal{Voters: lists}, nil, nil); err == nil {
+			t.Errorf("%v are taken for lists of voters", lists)
+		}
+	}
+	f, _ := New(Seal{Voters: [][]string{names}}, nil, nil)
 	if f.Stand("", nil) == nil || f.Stand("o", nil) != nil || f.Stand("o", nil) == nil {
 		t.Error("an office without a name, or stood for twice")
 	}
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -8,13 +8,10 @@
 	"valveglade/logic/owner"
 )
 
-// A message between candidate and voter: "VO", format 1, the word, then office, from, the sender's birth (8), to, term (8),
-// round (8), seconds left (8, a float). Text is a byte of length and then the bytes, numbers are big endian. docs/owner.md
+// A message between candidate and voter: "VO", format 2, the word, then office, from, the sender's birth (8), to, term (8),
+// round (8), seconds left (8, a float), holder. Text is a byte of length and then the bytes, numbers are big endian. docs/owner.md
 // has the words.
-const (
-	messageMagic = "VO\x01"
-	mostLetters  = 64
-)
+const messageMagic = "VO\x02"
 
 var errNotOurs = errors.New("no message of an office")
 
@@ -26,7 +23,8 @@
 	out = appendText(out, m.To)
 	out = binary.BigEndian.AppendUint64(out, m.Term)
 	out = binary.BigEndian.AppendUint64(out, m.Round)
-	return binary.BigEndian.AppendUint64(out, math.Float64bits(m.Left))
+	out = binary.BigEndian.AppendUint64(out, math.Float64bits(m.Left))
+	return appendText(out, m.Holder)
 }
 
 func appendText(out []byte, s string) []byte { return append(append(out, byte(len(s))), s...) }
@@ -57,10 +55,11 @@
 	}
 	m.Office, m.From.Name, m.From.Birth, m.To = text(), text(), number(), text()
 	m.Term, m.Round, m.Left = number(), number(), math.Float64frombits(number())
+	m.Holder = text()
 	switch {
 	case err != nil:
 		return owner.Message{}, err
-	case m.Word > owner.Refused || m.Office == "" || len(m.Office) > mostLetters || m.Term > mostTerm || !(m.Left >= 0):
+	case m.Word > owner.Refused || m.Office == "" || len(m.Office) > owner.MostLetters || m.Term > mostTerm || !(m.Left >= 0):
 		return owner.Message{}, errNotOurs
 	}
 	return m, nil
--- a/fleet/swarm_test.go
+++ b/fleet/swarm_test.go
@@ -32,7 +32,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, err := rig.NewSwarm(rig.Plan{Program: program, Names: []string{"n1", "n2", "n3", "n4"}, Slack: time.Second, Seed: 1, Folders: folders,
+	var keep []string
+	if folders {
+		keep = []string{"n1", "n2", "n3"}
+	}
+	s, err := rig.NewSwarm(rig.Plan{Program: program, Names: []string{"n1", "n2", "n3", "n4"}, Slack: time.Second, Seed: 1, Folders: keep,
 		Laws: []string{"fleet.voters n1 n2 n3", "fleet.lease " + lease.String(), "fleet.office o " + worker.Address() + " 10ms"},
 		Site: rig.Site{Cores: 1, MemoryMB: 64, Sockets: 256, Stop: 2 * time.Second, Grace: time.Second, Callers: 1,
 			Methods: []rig.SiteMethod{{Name: "lookup", Kind: string(rpc.Idempotent), Target: 0.5, Deadline: 1, Criticality: 1}}}})
@@ -148,9 +152,21 @@
 	c := swarm(t, true)
 	first := c.owner("")
 	table, err := exec.Command(program, "fleet", "owners", "--socket", c.Socket(first)).CombinedOutput()
-	if err != nil || !strings.Contains(string(table), "owner") || !strings.Contains(string(table), "\no ") {
+	if err != nil || !strings.Contains(string(table), first+" (this one)") || !strings.Contains(string(table), "\no ") {
 		t.Errorf("%v: %s", err, table)
 	}
+	// The others learn whose it is as they are refused.
+	for _, name := range c.Names() {
+		if name == first {
+			continue
+		}
+		if _, ok := c.Until(patience, func() bool {
+			table, err = exec.Command(program, "fleet", "owners", "--socket", c.Socket(name)).CombinedOutput()
+			return err == nil && strings.Contains(string(table), first)
+		}); !ok {
+			t.Errorf("%s does not know the owner: %v %s", name, err, table)
+		}
+	}
 	c.run("0s notice " + first)
 	c.owner(first)
 }
--- a/fleet/voter.go
+++ b/fleet/voter.go
@@ -25,7 +25,7 @@
 	if err != nil {
 		f.log.Warn("promises not found whole: silent for the longest lease", zap.Error(err))
 	}
-	voter := owner.NewVoter(f.seal.Name, kept, whole, uint64(max(f.seal.Now().UnixMilli(), 1)), now(), f.seal.Span)
+	voter := owner.NewVoter(f.seal.Name, kept, whole, uint64(max(f.seal.Now().UnixMilli(), 1)), f.seal.Clock(), f.seal.Span)
 	failing := false
 	for {
 		var m owner.Message
@@ -37,7 +37,7 @@
 		if m.To != f.seal.Name {
 			continue
 		}
-		a, ok := voter.Take(m, now())
+		a, ok := voter.Take(m, f.seal.Clock())
 		if !ok {
 			continue
 		}
--- a/logic/owner/owner.go
+++ b/logic/owner/owner.go
@@ -9,7 +9,13 @@
 // first whether it would win, and that ask changes nothing.
 package owner
 
-import "valveglade/logic/chance"
+import (
+	"fmt"
+	"math/bits"
+	"slices"
+
+	"valveglade/logic/chance"
+)
 
 // Span is what an installation sets, in seconds and shares.
 type Span struct {
@@ -19,6 +25,31 @@
 	Without Rule    // rules that are left out, to show that their loss is noticed: none in service
 }
 
+// MostLetters is what a name of a voter or of an office may be long, in bytes.
+const MostLetters = 64
+
+// Sound tells what is wrong with lists of voters: there is one, or two while they are changed, and each has three, five or
+// seven names.
+func Sound(lists [][]string) error {
+	if len(lists) == 0 || len(lists) > 2 {
+		return fmt.Errorf("one list of voters is wanted, or two while they are changed, not %d", len(lists))
+	}
+	for _, list := range lists {
+		if n := len(list); n < 3 || n > 7 || n%2 == 0 {
+			return fmt.Errorf("three, five or seven names are wanted, not %d", n)
+		}
+		for k, name := range list {
+			if name == "" || len(name) > MostLetters {
+				return fmt.Errorf("%q is not a name of 1 to %d bytes", name, MostLetters)
+			}
+			if slices.Contains(list[:k], name) {
+				return fmt.Errorf("%s is named twice", name)
+			}
+		}
+	}
+	return nil
+}
+
 // Rule is a set of rules that can be left out.
 type Rule uint16
 
@@ -75,6 +106,7 @@
 	Term   uint64 // of Claim, Renew, Resign: under which; of answers: the highest that the voter knows
 	Round  uint64
 	Left   float64 // of Refused: how long another's lease still lasts there, in seconds
+	Holder string  // of Refused: whose lease that is
 	Sync   bool    // the voter's promises have to be on its disk before this leaves
 }
 
@@ -155,7 +187,7 @@
 		return Message{}, false
 	}
 	if a.Word == Refused && others {
-		a.Left = p.Until - now
+		a.Left, a.Holder = p.Until-now, p.Holder.Name
 	}
 	return a, true
 }
@@ -175,7 +207,8 @@
 	span   Span
 	self   Life
 	office string
-	voters []string
+	voters []string // of all lists, each once
+	lists  []uint32 // each a set of voters, as bits, a majority of which is needed
 	seed   uint64
 	drawn  uint64
 
@@ -185,15 +218,41 @@
 	highest uint64 // known anywhere
 	round   uint64
 	asked   float64 // when the round began
-	yes     map[string]bool
+	yes     uint32  // the voters that answered it so, as bits
 	until   float64 // it may act, on its own clock
 	due     float64 // of the next step
+	other   Message // the last refusal that named an owner
+	heard   float64 // when that was
 	out     []Message
 }
 
-// NewCandidate begins as one that does not want the office.
-func NewCandidate(self Life, office string, voters []string, seed uint64, now float64, span Span) *Candidate {
-	return &Candidate{span: span, self: self, office: office, voters: voters, seed: seed, due: now, yes: map[string]bool{}}
+// NewCandidate begins as one that does not want the office. Lists are the voters: one list, or two while they are changed. A
+// majority of each is needed, so that whoever knows the former list alone, or the next alone, shares a voter with it.
+func NewCandidate(self Life, office string, lists [][]string, seed uint64, now float64, span Span) *Candidate {
+	c := &Candidate{span: span, self: self, office: office, seed: seed, due: now}
+	for _, list := range lists {
+		set := uint32(0)
+		for _, name := range list {
+			k := slices.Index(c.voters, name)
+			if k < 0 {
+				k = len(c.voters)
+				c.voters = append(c.voters, name)
+			}
+			set |= 1 << k
+		}
+		c.lists = append(c.lists, set)
+	}
+	return c
+}
+
+// won tells whether a majority of each list has said yes.
+func (c *Candidate) won() bool {
+	for _, set := range c.lists {
+		if bits.OnesCount32(c.yes&set) <= bits.OnesCount32(set)/2 {
+			return false
+		}
+	}
+	return len(c.lists) > 0
 }
 
 // Out empties the list of what is to be sent.
@@ -211,6 +270,12 @@
 	return c.term, c.until - now, true
 }
 
+// Other tells who else owns it, as far as voters have told, and for how long that lasts unless it is renewed, in seconds.
+func (c *Candidate) Other(now float64) (name string, left float64, ok bool) {
+	left = c.other.Left - (now - c.heard)
+	return c.other.Holder, left, c.stage != owning && c.other.Holder != "" && left > 0
+}
+
 // Term is the highest that it knows.
 func (c *Candidate) Term() uint64 { return max(c.term, c.highest) }
 
@@ -265,7 +330,7 @@
 func (c *Candidate) begin(w Word, now float64) {
 	c.round++
 	c.asked = now
-	clear(c.yes)
+	c.yes = 0
 	c.ask(w)
 }
 
@@ -299,6 +364,9 @@
 	if m.Office != c.office || m.Round != c.round {
 		return
 	}
+	if m.Holder != "" {
+		c.other, c.heard = m, now
+	}
 	if c.stage == owning && m.Word == Refused && m.Term > c.term {
 		c.giveUp(now)
 		return
@@ -306,8 +374,11 @@
 	if m.Word == Refused || m.Word == Free != (c.stage == asking) {
 		return
 	}
-	c.yes[m.From.Name] = true
-	if len(c.yes) != len(c.voters)/2+1 {
+	k := slices.Index(c.voters, m.From.Name)
+	if before := c.won(); k < 0 || before {
+		return
+	}
+	if c.yes |= 1 << k; !c.won() {
 		return
 	}
 	switch c.stage {
--- a/logic/owner/owner_test.go
+++ b/logic/owner/owner_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	for k := range 2 {
-		c := NewCandidate(Life{fmt.Sprintf("c%d", k), 1}, "o", names, seed+uint64(k), w.local(voters+k), span)
+		c := NewCandidate(Life{fmt.Sprintf("c%d", k), 1}, "o", [][]string{names}, seed+uint64(k), w.local(voters+k), span)
 		c.Want(true, w.local(voters+k))
 		w.cand = append(w.cand, c)
 	}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -103,7 +103,7 @@
 // that time.
 const marginShare = 0.1
 
-// standForOffices has this app server vote, and stand for the office of the operators' file, as far as they have said so; nil
+// standForOffices has this app server vote, and stand for the offices of the operators' file, as far as they have said so; nil
 // otherwise.
 func (s *Server) standForOffices(m *member.Member) (*fleet.Fleet, error) {
 	laws, c := s.fleetLaws, s.charter.Load()
@@ -115,7 +115,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if o := laws.Office; o.Name != "" {
+	for _, o := range laws.Offices {
 		if err := f.Stand(o.Name, fleet.Orders(o.Name, c.Name, o.Order.String(), seconds(o.Every))); err != nil {
 			return nil, err
 		}
