--- a/logic/owner/owner.go
+++ b/logic/owner/owner.go
@@ -60,6 +60,10 @@
 	Silence                    // a voter that starts without its promises says nothing for the longest lease
 	FromAsked                  // a lease counts from the question, not from the answer
 	Fences                     // whoever carries out orders refuses terms that are over
+	Settled                    // a new owner waits until what former ones granted is over, but for what is proved
+	Addressed                  // a question is answered only under the term that it names
+	Current                    // an answer counts only for the last question
+	Tails                      // what was begun under a grant may go on past its end
 )
 
 func (s Span) has(r Rule) bool { return s.Without&r == 0 }
--- /dev/null
+++ b/logic/owner/race_on_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package owner
+
+const raceDetector = true
