--- a/cmd/rehearse/lowest.go
+++ b/cmd/rehearse/lowest.go
@@ -11,14 +11,17 @@
 	"go.uber.org/zap"
 
 	"valveglade/fleet"
+	"valveglade/logic/owner"
 	"valveglade/logic/view"
 	"valveglade/member"
 )
 
 // lowestCommand is the baseline of ownership: whoever sees itself as the lowest name of its own view is the owner, without
-// terms and voters, and sends the same orders.
+// terms and voters, and sends the same orders. With voters it stands as the program does, by a clock that drifts.
 func lowestCommand() *cobra.Command {
 	var name, listen, advertise, join, order string
+	var voters []string
+	var rate, drift float64
 	c := &cobra.Command{Use: "lowest", Hidden: true, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 		p := member.Papers{Name: name, Listen: netip.MustParseAddrPort(listen), Advertise: netip.MustParseAddrPort(advertise),
 			Allow: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}, Probe: 300 * time.Millisecond, Terms: view.Defaults()}
@@ -35,6 +38,19 @@
 		}
 		m.Say(view.Serving, false, view.Load{})
 		go m.Run(cmd.Context())
+		if len(voters) > 0 {
+			began := time.Now()
+			lease := rehearsedLease.Seconds()
+			f, err := fleet.New(fleet.Seal{Name: name, Voters: [][]string{voters}, Span: owner.Span{Lease: lease, Drift: drift, Margin: lease / 10},
+				Clock: func() float64 { return rate * time.Since(began).Seconds() }}, m, log)
+			if err != nil {
+				return err
+			}
+			if err := f.Stand("o", fleet.Orders("o", name, order, orderEvery)); err != nil {
+				return err
+			}
+			return f.Run(cmd.Context())
+		}
 		changes, stop := m.Changes()
 		defer stop()
 		begin := func() context.CancelFunc {
@@ -61,6 +77,9 @@
 	c.Flags().StringVar(&advertise, "advertise", "", "")
 	c.Flags().StringVar(&join, "join", "", "")
 	c.Flags().StringVar(&order, "order", "", "")
+	c.Flags().StringSliceVar(&voters, "voters", nil, "")
+	c.Flags().Float64Var(&rate, "rate", 1, "")
+	c.Flags().Float64Var(&drift, "drift", 0, "")
 	return c
 }
 
--- a/cmd/rehearse/main_test.go
+++ b/cmd/rehearse/main_test.go
@@ -97,3 +97,9 @@
 func TestViewFaults(t *testing.T) {
 	rules(t, "view-faults", "joined.all", "narrow.said", "rejoined.max", "one.way.deaths.lasting", "views.differ.at.end", "breaches")
 }
+
+func TestOwner(t *testing.T) {
+	rules(t, "owner", "owners.at.once", "late.effects", "terms.falling", "owners.at.once.second", "late.effects.second", "work.overlap.s",
+		"owners.at.once.drifting", "late.effects.drifting", "work.overlap.drifting.s", "orders.without.majority", "owners.at.once.lowest",
+		"late.effects.lowest", "breaches")
+}
--- a/fleet/swarm_test.go
+++ b/fleet/swarm_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"os/exec"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -49,6 +51,9 @@
 		if j.AtOnce > 1 || j.Late+j.Falling+j.Shared > 0 {
 			t.Errorf("%v", j)
 		}
+		if o := rig.Overlap(s.History.Tenures()); o > 0 {
+			t.Errorf("two worked as owners at the same time for %g s", o)
+		}
 		s.Check.Finish()
 		for _, b := range s.Check.Breaches() {
 			t.Error(b)
@@ -147,6 +152,68 @@
 	}
 }
 
+// Messages are doubled, and those of one that does not vote come over several terms too late: none of that brings about two owners, or keeps the fleet
+// without one for long.
+func TestLateMessages(t *testing.T) {
+	c := swarm(t, true)
+	first := c.owner("")
+	c.run("0s double *>* 50%\n0s delay *>* 40ms 40ms\n0s mute n4>* 4s")
+	for range 2 {
+		c.run("0s kill " + first)
+		second := c.owner(first)
+		c.run("0s start " + first)
+		first = second
+	}
+}
+
+// A voter whose disk fails is silent, and the others go on; without a majority that keeps its word nobody owns anything.
+func TestVoterWithoutDisk(t *testing.T) {
+	c := swarm(t, true)
+	c.owner("")
+	away := func(name string) string { return c.Folder(name) + ".away" }
+	for _, name := range []string{"n1", "n2"} {
+		if err := os.Rename(c.Folder(name), away(name)); err != nil {
+			t.Fatal(err)
+		}
+		if name == "n1" {
+			c.owner("")
+		}
+	}
+	if _, ok := c.Until(patience, func() bool { return c.worker.Owner(lease) == "" }); !ok {
+		t.Error("owned without a majority that can keep its word")
+	}
+	if err := os.Rename(away("n1"), c.Folder("n1")); err != nil {
+		t.Fatal(err)
+	}
+	c.owner("")
+}
+
+// The voters are changed one process after another: first all know both lists, then the next one alone.
+func TestVotersChanged(t *testing.T) {
+	c := swarm(t, false)
+	c.owner("")
+	for _, next := range []string{"n1 n2 n3 / n4 n2 n3", "n4 n2 n3"} {
+		for _, name := range c.Names() {
+			if err := c.Amend(name, func(laws string) string {
+				return regexp.MustCompile(`(?m)^fleet.voters .*$`).ReplaceAllString(laws, "fleet.voters "+next)
+			}); err != nil {
+				t.Fatal(err)
+			}
+			c.run("0s restart " + name)
+			// Each is let come to its senses before the next one: without a folder it is silent for a lease.
+			from := time.Now().Add(lease)
+			if _, ok := c.Until(patience, func() bool {
+				orders := c.worker.Orders(from)
+				return len(orders) > 3 && c.worker.Owner(lease) != ""
+			}); !ok {
+				t.Fatalf("nobody owns it after %s was told of %s", name, next)
+			}
+		}
+	}
+	c.run("0s kill n1") // it votes no more
+	c.owner("n1")
+}
+
 // Whoever leaves hands over at once; operators are shown who owns what.
 func TestDrainedOwner(t *testing.T) {
 	c := swarm(t, true)
--- a/fleet/voter.go
+++ b/fleet/voter.go
@@ -11,6 +11,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/google/renameio/v2"
@@ -37,11 +38,8 @@
 		if m.To != f.seal.Name {
 			continue
 		}
-		a, ok := voter.Take(m, f.seal.Clock())
-		if !ok {
-			continue
-		}
-		if a.Sync && f.seal.Folder != "" {
+		answers := voter.Take(m, f.seal.Clock())
+		if f.seal.Folder != "" && slices.ContainsFunc(answers, func(a owner.Message) bool { return a.Sync }) {
 			err := f.keep(voter.Kept())
 			if failing != (err != nil) {
 				failing = err != nil
@@ -55,7 +53,9 @@
 				continue
 			}
 		}
-		f.carrier.Send(a.To, encode(a))
+		for _, a := range answers {
+			f.carrier.Send(a.To, encode(a))
+		}
 	}
 }
 
--- a/logic/owner/owner.go
+++ b/logic/owner/owner.go
@@ -11,6 +11,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/bits"
 	"slices"
 
@@ -123,19 +124,23 @@
 
 // Voter is one voter's part in all offices.
 type Voter struct {
-	span   Span
-	name   string
-	silent float64 // until when it says nothing
-	floor  uint64  // terms are above
-	kept   map[string]Promise
+	span    Span
+	name    string
+	silent  float64 // until when it says nothing
+	floor   uint64  // terms are above
+	kept    map[string]Promise
+	refused map[string][]Message // the last candidates that were told to wait, by office: they hear when it is free
 }
 
+// mostRefused is how many candidates hear that an office is free, of those that were refused: enough that one of them takes it.
+const mostRefused = 8
+
 // NewVoter begins at a time. Kept are its promises from before, as far as there are any; whole tells that none is missing
 // from them that could still hold. Where that is not sure, as nothing lasts or what was found may be older than the last
 // promise, it is silent for the longest lease. Floor is a term that none before can have reached: the wall clock in
 // milliseconds.
 func NewVoter(name string, kept map[string]Promise, whole bool, floor uint64, now float64, span Span) *Voter {
-	v := &Voter{span: span, name: name, silent: now, floor: floor, kept: map[string]Promise{}}
+	v := &Voter{span: span, name: name, silent: now, floor: floor, kept: map[string]Promise{}, refused: map[string][]Message{}}
 	if !whole && span.has(Silence) {
 		v.silent = now + span.Longest()
 	}
@@ -154,10 +159,10 @@
 // Silent tells whether it says nothing yet.
 func (v *Voter) Silent(now float64) bool { return now < v.silent }
 
-// Take answers a candidate, or does not while it is silent.
-func (v *Voter) Take(m Message, now float64) (Message, bool) {
+// Take gives what is to be answered to a candidate, and to others that wait; nothing while it is silent.
+func (v *Voter) Take(m Message, now float64) []Message {
 	if v.Silent(now) {
-		return Message{}, false
+		return nil
 	}
 	p := v.kept[m.Office]
 	a := Message{Word: Refused, Office: m.Office, From: Life{Name: v.name}, To: m.From.Name, Term: max(p.Term, v.floor), Round: m.Round}
@@ -185,15 +190,29 @@
 		if m.Term == p.Term && p.Holder == m.From {
 			p.Until = now
 			v.kept[m.Office] = p
+			free := v.refused[m.Office]
+			delete(v.refused, m.Office)
+			return free
 		}
-		return Message{}, false
+		return nil
 	default:
-		return Message{}, false
+		return nil
 	}
 	if a.Word == Refused && others {
 		a.Left, a.Holder = p.Until-now, p.Holder.Name
+		v.remember(a)
 	}
-	return a, true
+	return []Message{a}
+}
+
+// remember has a candidate told when the office is free: as an answer to the question that is refused now.
+func (v *Voter) remember(a Message) {
+	a.Word, a.Left, a.Holder = Free, 0, ""
+	all := slices.DeleteFunc(v.refused[a.Office], func(b Message) bool { return b.To == a.To })
+	if len(all) == mostRefused {
+		all = all[1:]
+	}
+	v.refused[a.Office] = append(all, a)
 }
 
 // stage is how far a candidate has come. Candidate.move changes it, and nothing else does.
@@ -221,12 +240,14 @@
 	term    uint64
 	highest uint64 // known anywhere
 	round   uint64
-	asked   float64 // when the round began
-	yes     uint32  // the voters that answered it so, as bits
-	until   float64 // it may act, on its own clock
-	due     float64 // of the next step
-	other   Message // the last refusal that named an owner
-	heard   float64 // when that was
+	first   uint64 // the round of the claim
+	asked   [rounds]float64
+	yes     uint32         // the voters that would grant it, as bits
+	acked   [2 * 7]float64 // when the last question was asked that each voter granted, under this term; -Inf for none
+	until   float64        // it may act, on its own clock
+	due     float64        // of the next step
+	other   Message        // the last refusal that named an owner
+	heard   float64        // when that was
 	out     []Message
 }
 
@@ -293,7 +314,7 @@
 	}
 	c.wants, c.due = wants, now
 	if !wants {
-		c.giveUp(now)
+		c.giveUp(c.stage == owning, now)
 	}
 	c.Tick(now)
 }
@@ -302,13 +323,13 @@
 func (c *Candidate) Overtaken(term uint64, now float64) {
 	c.highest = max(c.highest, term)
 	if c.stage == owning && term > c.term {
-		c.giveUp(now)
+		c.giveUp(false, now)
 	}
 }
 
-// giveUp ends whatever it holds or asks for.
-func (c *Candidate) giveUp(now float64) {
-	if c.stage == owning || c.stage == standing {
+// giveUp ends whatever it holds or asks for. The voters are told only where nothing is done under the lease any more.
+func (c *Candidate) giveUp(tell bool, now float64) {
+	if tell || c.stage == standing {
 		c.round++
 		c.ask(Resign)
 	}
@@ -330,15 +351,19 @@
 	}
 }
 
+// rounds is how many of the last questions an answer counts for: those of two leases.
+const rounds = 2 * renewals
+
 // begin is a new round.
 func (c *Candidate) begin(w Word, now float64) {
 	c.round++
-	c.asked = now
+	c.asked[c.round%rounds] = now
 	c.yes = 0
 	c.ask(w)
 }
 
-// renewals is how many times in a lease it is renewed: two may be lost.
+// renewals is how many times in a lease it is renewed: what one renewal loses the next ones make good. The last quarter is
+// for an owner that is not heard, or hears nothing: what it still asked for then would keep the next one waiting.
 const renewals = 4
 
 // Tick lets time pass.
@@ -352,8 +377,12 @@
 	}
 	switch c.stage {
 	case owning:
-		c.begin(Renew, now)
 		c.due = now + c.span.Lease/renewals
+		if c.until-now > c.span.Lease/renewals {
+			c.begin(Renew, now)
+		}
+	case standing: // too few have granted it: whoever has is free again
+		c.giveUp(true, now)
 	default: // whatever was asked has not been answered by enough
 		c.move(asking)
 		c.begin(Canvass, now)
@@ -361,49 +390,77 @@
 	}
 }
 
-// Hear takes a voter's answer in. One to an earlier round counts for nothing: its lease would be counted from a question
-// that it does not answer.
+// Hear takes a voter's answer in.
 func (c *Candidate) Hear(m Message, now float64) {
 	c.highest = max(c.highest, m.Term)
-	if m.Office != c.office || m.Round != c.round {
+	k := slices.Index(c.voters, m.From.Name)
+	if m.Office != c.office || k < 0 {
 		return
 	}
-	if m.Holder != "" {
-		c.other, c.heard = m, now
+	switch m.Word {
+	case Refused:
+		c.refused(m, now)
+	case Free:
+		if c.stage != asking || m.Round != c.round {
+			return
+		}
+		if c.yes |= 1 << k; c.won() {
+			c.term = max(c.highest, c.term) + 1
+			c.move(standing)
+			c.begin(Claim, now)
+			c.first = c.round
+			for n := range c.acked {
+				c.acked[n] = math.Inf(-1)
+			}
+			c.due = now + c.pause()
+		}
+	case Granted:
+		c.granted(k, m, now)
 	}
-	if c.stage == owning && m.Word == Refused && m.Term > c.term {
-		c.giveUp(now)
+}
+
+// refused takes in that a voter does not grant it.
+func (c *Candidate) refused(m Message, now float64) {
+	if m.Round != c.round {
 		return
 	}
-	if m.Word == Refused || m.Word == Free != (c.stage == asking) {
-		return
+	if m.Holder != "" {
+		c.other, c.heard = m, now
 	}
-	k := slices.Index(c.voters, m.From.Name)
-	if before := c.won(); k < 0 || before {
-		return
+	switch {
+	case c.stage == owning && m.Term > c.term:
+		c.giveUp(false, now)
+	case c.stage == asking && m.Left > 0: // there is no need to ask again before: if it is given up, the voter says so
+		c.due = max(c.due, now+m.Left+c.pause()/2)
 	}
-	if c.yes |= 1 << k; !c.won() {
+}
+
+// granted takes in that a voter has granted a question, one of the last. Each voter is bound for a lease from when it was asked
+// at the earliest; so the office is held for as long as a majority is.
+func (c *Candidate) granted(k int, m Message, now float64) {
+	if c.stage != standing && c.stage != owning || m.Term != c.term || m.Round < c.first || m.Round > c.round || c.round-m.Round >= rounds {
 		return
 	}
-	switch c.stage {
-	case asking:
-		c.term = max(c.highest, c.term) + 1
-		c.move(standing)
-		c.begin(Claim, now)
-		c.due = now + c.pause()
-	case standing, owning:
-		from := c.asked
-		if !c.span.has(FromAsked) {
-			from = now
-		}
-		c.until = max(c.until, from+c.span.Held())
-		if now >= c.until {
-			return // the answers took too long
-		}
-		if c.stage == standing {
-			c.move(owning)
-			c.due = now + c.span.Lease/renewals
+	at := c.asked[m.Round%rounds]
+	if !c.span.has(FromAsked) {
+		at = now
+	}
+	c.yes |= 1 << k
+	c.acked[k] = max(c.acked[k], at)
+	until := math.Inf(1)
+	for _, set := range c.lists {
+		var all []float64
+		for n := range c.voters {
+			if set>>n&1 == 1 {
+				all = append(all, c.acked[n])
+			}
 		}
+		slices.Sort(all)
+		until = min(until, all[(len(all)-1)/2]+c.span.Held()) // of an odd number, as many or more have been asked since
+	}
+	if c.until = until; c.stage == standing && now < until {
+		c.move(owning)
+		c.due = now + c.span.Lease/renewals
 	}
 }
 
--- a/rig/check_test.go
+++ b/rig/check_test.go
@@ -156,3 +156,45 @@
 		t.Errorf("%v", b)
 	}
 }
+
+// What owners did is judged by their orders and by what they say: beside each other, late, and anew under a later term.
+func TestJudge(t *testing.T) {
+	at := time.Unix(0, 0)
+	order := func(ms int, owner string, term uint64) Order {
+		return Order{at.Add(time.Duration(ms) * time.Millisecond), owner, term}
+	}
+	for name, one := range map[string]struct {
+		orders       []Order
+		late, atOnce int
+	}{
+		"one after the other": {[]Order{order(0, "a", 1), order(10, "b", 2)}, 0, 1},
+		"late":                {[]Order{order(0, "a", 1), order(10, "b", 2), order(20, "a", 1)}, 1, 2},
+		"anew":                {[]Order{order(0, "a", 1), order(10, "b", 2), order(20, "a", 3)}, 0, 1},
+		"without terms":       {[]Order{order(0, "a", 0), order(10, "b", 0), order(20, "a", 0)}, 1, 2},
+		"long ago":            {[]Order{order(0, "a", 0), order(10, "b", 0), order(2000, "a", 0)}, 0, 1},
+	} {
+		if j := Judge(one.orders, time.Second); j.Late != one.late || j.AtOnce != one.atOnce {
+			t.Errorf("%s: %v", name, j)
+		}
+	}
+	h := NewHistory()
+	say := func(who, msg string, after float64) {
+		h.Said(who, fmt.Appendf(nil, `{"msg":%q,"office":"o","term":1,"ts":%f}`, msg, float64(h.began.UnixNano())/1e9+after))
+	}
+	say("a", "office taken", 1)
+	say("a", "office given up", 2)
+	say("b", "office taken", 2.5)
+	if o := Overlap(h.Tenures()); o != 0 {
+		t.Errorf("%g s of those who followed each other", o)
+	}
+	say("c", "office taken", 3)
+	h.Add("", "fault", "kill c")
+	say("b", "office given up", 3.25)
+	if o := Overlap(h.Tenures()); o > 0.3 || len(h.Tenures()) != 3 {
+		t.Errorf("%g s, %v", o, h.Tenures())
+	}
+	say("a", "office taken", 3.1)
+	if o := Overlap(h.Tenures()); o < 0.14 || o > 0.16 {
+		t.Errorf("%g s of two at the same time", o)
+	}
+}
--- /dev/null
+++ b/rig/judge.go
@@ -0,0 +1,122 @@
+package rig
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+)
+
+// Judged is what a worker's record says.
+type Judged struct {
+	AtOnce  int // the most owners whose orders had their effects among each other's
+	Late    int // effects of one who ordered before, after another had begun, who went on afterwards
+	Falling int // terms below one before
+	Shared  int // terms with more than one owner
+	Changes int // of owner
+}
+
+// Judge reads the record: an owner whose orders lie between two of another's, within a span, was one at the same time.
+func Judge(orders []Order, span time.Duration) Judged {
+	j := Judged{AtOnce: min(len(orders), 1)}
+	byTerm := map[uint64]string{}
+	for k, o := range orders {
+		if k > 0 && o.Term < orders[k-1].Term {
+			j.Falling++
+		}
+		if by, seen := byTerm[o.Term]; seen && by != o.Owner && o.Term > 0 {
+			j.Shared++
+		}
+		byTerm[o.Term] = o.Owner
+		if k == 0 || orders[k-1].Owner == o.Owner {
+			continue
+		}
+		j.Changes++
+		// Between its own last order and this one another's lie: late, if that other goes on.
+		before := k - 1
+		for before >= 0 && orders[before].Owner != o.Owner {
+			before--
+		}
+		if before < 0 || o.At.Sub(orders[before].At) > span {
+			continue
+		}
+		// Under a term of its own that came later it has taken over anew.
+		others := map[string]bool{}
+		for _, x := range orders[before+1 : k] {
+			if x.Term >= o.Term {
+				others[x.Owner] = true
+			}
+		}
+		if len(others) == 0 {
+			continue
+		}
+		j.AtOnce = max(j.AtOnce, 1+len(others))
+		j.Late++
+	}
+	return j
+}
+
+// Line tells some of a record, for people.
+func (j Judged) String() string {
+	return strings.TrimSpace(fmt.Sprintf("at once %d, late %d, falling %d, shared %d, changes %d", j.AtOnce, j.Late, j.Falling, j.Shared, j.Changes))
+}
+
+// Tenure is for how long one process worked as the owner of an office, by its own log, in seconds of the history. It ends
+// where the process was stopped or killed: what it does after that is late, and judged by its orders.
+type Tenure struct {
+	Office, Who string
+	Term        uint64
+	From, To    float64
+}
+
+// Tenures reads them out of a history.
+func (h *History) Tenures() []Tenure {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var all []Tenure
+	began := float64(h.began.UnixNano()) / 1e9
+	end := func(who, office string, at float64) {
+		for k := range all {
+			if t := &all[k]; t.Who == who && (office == "" || t.Office == office) && math.IsInf(t.To, 1) {
+				t.To = at
+			}
+		}
+	}
+	for _, e := range h.events {
+		if words := strings.Fields(e.Text); e.Kind == "fault" && len(words) > 1 {
+			switch words[0] {
+			case "stop", "kill", "restart", "replace", "starve":
+				end(words[1], "", e.T)
+			}
+		}
+		var line struct {
+			Msg, Office string
+			Term        uint64
+			Ts          float64
+		}
+		if e.Line == nil || json.Unmarshal(e.Line, &line) != nil {
+			continue
+		}
+		switch line.Msg {
+		case "office taken":
+			all = append(all, Tenure{line.Office, e.Who, line.Term, line.Ts - began, math.Inf(1)})
+		case "office given up":
+			end(e.Who, line.Office, line.Ts-began)
+		}
+	}
+	return all
+}
+
+// Overlap is for how long two processes worked as owners of one office at the same time, at the most, in seconds.
+func Overlap(all []Tenure) float64 {
+	most := 0.0
+	for k, a := range all {
+		for _, b := range all[:k] {
+			if a.Office == b.Office && a.Who != b.Who {
+				most = max(most, min(a.To, b.To)-max(a.From, b.From))
+			}
+		}
+	}
+	return most
+}
--- a/rig/swarm.go
+++ b/rig/swarm.go
@@ -209,6 +209,16 @@
 	return n, nil
 }
 
+// Amend changes a process's operators' file, for its next start.
+func (s *Swarm) Amend(name string, f func(laws string) string) error {
+	path := filepath.Join(s.dir, name+".conf")
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, []byte(f(string(text))), 0o600)
+}
+
 // Socket is the local socket of a process.
 func (s *Swarm) Socket(name string) string { return filepath.Join(s.dir, name+".sock") }
 
--- a/rig/worker.go
+++ b/rig/worker.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"fmt"
 	"net"
-	"strings"
 	"sync"
 	"time"
 )
@@ -134,51 +133,3 @@
 	}
 	return w.orders[n-1].Owner
 }
-
-// Judged is what a worker's record says.
-type Judged struct {
-	AtOnce  int // the most owners whose orders had their effects among each other's
-	Late    int // effects of one who ordered before, after another had begun, who went on afterwards
-	Falling int // terms below one before
-	Shared  int // terms with more than one owner
-	Changes int // of owner
-}
-
-// Judge reads the record: an owner whose orders lie between two of another's, within a span, was one at the same time.
-func Judge(orders []Order, span time.Duration) Judged {
-	j := Judged{AtOnce: min(len(orders), 1)}
-	byTerm := map[uint64]string{}
-	for k, o := range orders {
-		if k > 0 && o.Term < orders[k-1].Term {
-			j.Falling++
-		}
-		if by, seen := byTerm[o.Term]; seen && by != o.Owner && o.Term > 0 {
-			j.Shared++
-		}
-		byTerm[o.Term] = o.Owner
-		if k == 0 || orders[k-1].Owner == o.Owner {
-			continue
-		}
-		j.Changes++
-		// Between its own last order and this one another's lie: late, if that other goes on.
-		before := k - 1
-		for before >= 0 && orders[before].Owner != o.Owner {
-			before--
-		}
-		if before < 0 || o.At.Sub(orders[before].At) > span {
-			continue
-		}
-		others := map[string]bool{}
-		for _, x := range orders[before+1 : k] {
-			others[x.Owner] = true
-		}
-		j.AtOnce = max(j.AtOnce, 1+len(others))
-		j.Late++
-	}
-	return j
-}
-
-// Line tells some of a record, for people.
-func (j Judged) String() string {
-	return strings.TrimSpace(fmt.Sprintf("at once %d, late %d, falling %d, shared %d, changes %d", j.AtOnce, j.Late, j.Falling, j.Shared, j.Changes))
-}
