--- a/charter/fleet.go
+++ b/charter/fleet.go
@@ -29,6 +29,18 @@
 	Drift     float64 // a share
 	State     string  // a folder that lasts, for a voter's promises
 	Offices   []Office
+	Shares    []Share
+	Floor     int      // permits of each share that some have without asking
+	Floored   []string // who they are
+}
+
+// Share is a limit common to the whole fleet: of some methods at most so many RPCs run at once.
+type Share struct {
+	Name    string
+	Limit   int
+	Least   int     // where the limit is found, from Least to Limit; 0 where it is set
+	Target  float64 // where it is found: seconds that a run takes while what is behind is well
+	Methods []string
 }
 
 // Office is a work that is done once for the whole fleet: its owner sends an order to an address, again and again.
@@ -172,14 +184,7 @@
 			if len(w) == 1 && w[0] == "none" {
 				return nil
 			}
-			lists := [][]string{nil}
-			for _, name := range w {
-				if name == "/" {
-					lists = append(lists, nil)
-					continue
-				}
-				lists[len(lists)-1] = append(lists[len(lists)-1], name)
-			}
+			lists := parted(w)
 			if err := owner.Sound(lists); err != nil {
 				return err
 			}
@@ -233,12 +238,8 @@
 			if len(w) == 1 && w[0] == "none" {
 				return nil
 			}
-			for rest := w; ; {
-				one := rest
-				if k := slices.Index(rest, "/"); k >= 0 {
-					one = rest[:k]
-				}
-				if len(one) != 3 || one[0] == "" || len(one[0]) > owner.MostLetters {
+			for _, one := range parted(w) {
+				if len(one) != 3 || one[0] == "" || len(one[0]) > mostLetters/2 {
 					return errors.New("a name, an address and a time are wanted, such as sweep 10.0.0.9:7100 1s")
 				}
 				o := Office{Name: one[0]}
@@ -251,15 +252,11 @@
 				if err := span(&o.Every, one[2:], 0.01, 3600); err != nil {
 					return err
 				}
-				b.Fleet.Offices = append(b.Fleet.Offices, o)
-				switch {
-				case len(one) == len(rest):
-					return nil
-				case len(b.Fleet.Offices) == mostOffices:
+				if b.Fleet.Offices = append(b.Fleet.Offices, o); len(b.Fleet.Offices) > mostOffices {
 					return fmt.Errorf("more than %d offices", mostOffices)
 				}
-				rest = rest[len(one)+1:]
 			}
+			return nil
 		},
 		func(b *Bylaws) string {
 			var all []string
@@ -268,6 +265,129 @@
 			}
 			return cmp.Or(strings.Join(all, " / "), "none")
 		}},
+	{"fleet.share", "none|NAME LIMIT METHOD...[ / ...]", "of these methods at most so many RPCs run at once over all app servers; for LIMIT also auto LEAST-MOST TIME, found by the time that runs take",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "none" {
+				return nil
+			}
+			for _, one := range parted(w) {
+				s, err := shareOf(one)
+				if err != nil {
+					return err
+				}
+				for _, other := range b.Fleet.Shares {
+					if other.Name == s.Name {
+						return fmt.Errorf("%s is named twice", s.Name)
+					}
+					for _, m := range s.Methods {
+						if slices.Contains(other.Methods, m) {
+							return fmt.Errorf("%s is in %s already", m, other.Name)
+						}
+					}
+				}
+				for k, m := range s.Methods {
+					if slices.Contains(s.Methods[:k], m) {
+						return fmt.Errorf("%s is named twice", m)
+					}
+				}
+				if b.Fleet.Shares = append(b.Fleet.Shares, s); len(b.Fleet.Shares) > mostShares {
+					return fmt.Errorf("more than %d shares", mostShares)
+				}
+			}
+			return nil
+		},
+		func(b *Bylaws) string {
+			var all []string
+			for _, s := range b.Fleet.Shares {
+				all = append(all, s.String())
+			}
+			return cmp.Or(strings.Join(all, " / "), "none")
+		}},
+	{"fleet.floor", "none|N NAME...", "permits of each share that these app servers have without asking, the same everywhere",
+		func(b *Bylaws, w []string) error {
+			if len(w) == 1 && w[0] == "none" {
+				return nil
+			}
+			if len(w) < 2 {
+				return errors.New("a number and names are wanted, such as 1 n1 n2 n3")
+			}
+			n, err := strconv.Atoi(w[0])
+			if err != nil || n < 1 || n > mostParts {
+				return fmt.Errorf("%q is no number from 1 to %d", w[0], mostParts)
+			}
+			for k, name := range w[1:] {
+				if name == "" || len(name) > mostLetters || slices.Contains(w[1:k+1], name) {
+					return fmt.Errorf("%q is no name, or named twice", name)
+				}
+			}
+			b.Fleet.Floor, b.Fleet.Floored = n, w[1:]
+			return nil
+		},
+		func(b *Bylaws) string {
+			if b.Fleet.Floor == 0 {
+				return "none"
+			}
+			return strconv.Itoa(b.Fleet.Floor) + " " + strings.Join(b.Fleet.Floored, " ")
+		}},
+}
+
+// mostShares and mostParts bound what may be set: each share is asked for some times a second.
+const mostShares, mostParts = 16, 100_000
+
+// shareOf reads NAME LIMIT METHOD... or NAME auto LEAST-MOST TIME METHOD...
+func shareOf(w []string) (s Share, err error) {
+	form := errors.New("a name, a limit and methods are wanted, such as register 16 lookup record, or scorer auto 4-64 80ms score")
+	if len(w) < 3 || w[0] == "" || len(w[0]) > mostLetters/2 {
+		return s, form
+	}
+	whole := func(word string) (int, error) {
+		n, err := strconv.Atoi(word)
+		if err != nil || n < 1 || n > mostParts {
+			return 0, fmt.Errorf("%q is no number from 1 to %d", word, mostParts)
+		}
+		return n, nil
+	}
+	s.Name, s.Methods = w[0], w[2:]
+	if w[1] != "auto" {
+		s.Limit, err = whole(w[1])
+		return s, err
+	}
+	least, most, ok := strings.Cut(w[2], "-")
+	if len(w) < 5 || !ok {
+		return s, form
+	}
+	if s.Least, err = whole(least); err != nil {
+		return s, err
+	}
+	if s.Limit, err = whole(most); err != nil {
+		return s, err
+	}
+	if s.Least > s.Limit {
+		return s, fmt.Errorf("the least, %d, is above the most, %d", s.Least, s.Limit)
+	}
+	s.Methods = w[4:]
+	return s, span(&s.Target, w[3:4], 0.001, 60)
+}
+
+func (s Share) String() string {
+	limit := strconv.Itoa(s.Limit)
+	if s.Least > 0 {
+		limit = fmt.Sprintf("auto %d-%d %s", s.Least, s.Limit, showSpan(s.Target))
+	}
+	return s.Name + " " + limit + " " + strings.Join(s.Methods, " ")
+}
+
+// parted gives what stands between single strokes.
+func parted(w []string) [][]string {
+	all := [][]string{nil}
+	for _, word := range w {
+		if word == "/" {
+			all = append(all, nil)
+			continue
+		}
+		all[len(all)-1] = append(all[len(all)-1], word)
+	}
+	return all
 }
 
 func address(into *netip.AddrPort, words []string) error {
@@ -339,7 +459,7 @@
 		}
 		return misrule(at, "a hold of %s is less than the %s between two probes", showSpan(f.Hold), showSpan(f.Probe))
 	}
-	for _, name := range []string{"fleet.lease", "fleet.drift", "fleet.state", "fleet.office"} {
+	for _, name := range []string{"fleet.lease", "fleet.drift", "fleet.state", "fleet.office", "fleet.share"} {
 		if len(f.Voters) == 0 && b.lines[name] > 0 {
 			return misrule(name, "fleet.voters is not set")
 		}
@@ -352,6 +472,14 @@
 		}
 		return misrule(at, "a lease of %s is shorter than three probes of %s", showSpan(f.Lease), showSpan(f.Probe))
 	}
+	for _, s := range f.Shares {
+		if least := cmp.Or(s.Least, s.Limit); f.Floor*len(f.Floored) > least {
+			return misrule("fleet.floor", "%d floors of %d are more than the %d of %s", len(f.Floored), f.Floor, least, s.Name)
+		}
+	}
+	if f.Floor > 0 && len(f.Shares) == 0 {
+		return misrule("fleet.floor", "fleet.share is not set")
+	}
 	for _, at := range f.Join {
 		if !f.allows(at.Addr()) {
 			return misrule("fleet.join", "%s is not among fleet.allow", at)
@@ -375,5 +503,12 @@
 	case f.State != "" && !f.votes(c.Name):
 		return fault("name", "%q is not among fleet.voters, so it promises nothing: fleet.state is a voter's", c.Name)
 	}
+	for _, s := range f.Shares {
+		for _, m := range s.Methods {
+			if !slices.Contains(c.Methods, m) {
+				return fault("settings.profiles", "no method is called %q, which fleet.share %s names", m, s.Name)
+			}
+		}
+	}
 	return nil
 }
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -31,6 +31,7 @@
 	{"view-faults", "the fleet's view between cuts and loss, the gossip library alone beside", playViewFaults},
 	{"view-drawn", "the fleet's view under faults drawn from the seed, or read from --script", playViewDrawn},
 	{"owner", "one owner at a time, between deaths, sleeps and cuts, the lowest name of the view as the owner beside", playOwner},
+	{"share", "a limit common to the fleet, between deaths, sleeps, cuts and moving demand, an even split and none beside", playShare},
 	{"view-cost", "what the view costs: 20, 100 and 300 members in one process, at rest and after a fifth have died", playViewCost},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
 }
--- /dev/null
+++ b/cmd/rehearse/share.go
@@ -0,0 +1,339 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"valveglade/fleet"
+	"valveglade/member"
+	"valveglade/rig"
+	"valveglade/rpc"
+)
+
+// A rehearsed share: how much it is, among how many, and how long a run takes on the mean. A third of it is floors. Where all
+// ask for more, one app server of so many has less than a tenth: that is missing for a while if it dies.
+const (
+	sharedLimit = 36
+	sharedOn    = 12
+	sharedWork  = 0.1
+)
+
+// sharedLoad is what callers ask for: three methods that need the share, and one that does not.
+func sharedLoad() []rig.Share {
+	return append([]rig.Share{
+		{Method: "lookup", Kind: rpc.Idempotent, Criticality: 1, Part: 0.45, Work: sharedWork, Deadline: time.Second},
+		{Method: "check", Kind: rpc.Idempotent, Criticality: 2, Part: 0.25, Work: sharedWork, Deadline: time.Second},
+		{Method: "record", Kind: rpc.Tokened, Criticality: 4, Part: 0.15, Work: sharedWork, Deadline: time.Second}}, rig.Share{Method: "plain", Kind: rpc.Idempotent, Criticality: 1, Part: 0.15, Work: 0.01, Deadline: time.Second})
+}
+
+// pool is a swarm with something behind it, and what was asked of it.
+type pool struct {
+	*rig.Swarm
+	behind *rig.Behind
+
+	mu    sync.Mutex
+	asked []demanded
+	ok    map[string][2]float64 // by phase, criticality that was served and that was asked, of what needs the share
+	plain map[string][2]float64 // of what does not
+	phase string
+}
+
+// demanded is one RPC that needs the share, as it was asked.
+type demanded struct {
+	at, work, criticality float64
+	phase                 string
+}
+
+// reservoir starts a pool: under a keeper, split evenly, or without a common limit and without a fleet.
+func (p *play) reservoir(kind string, limit string) (*pool, error) {
+	all := names(sharedOn)
+	r := &pool{behind: rig.NewBehind(sharedLimit, "lookup", "check", "record"), ok: map[string][2]float64{}, plain: map[string][2]float64{}}
+	plan := p.plan(sharedOn)
+	plan.Behind = r.behind
+	plan.Site.Cores = 24
+	plan.Site.Methods = nil
+	for _, s := range sharedLoad() {
+		m := rig.SiteMethod{Name: s.Method, Kind: string(s.Kind), Target: 0.8, Deadline: 1, Criticality: s.Criticality}
+		if s.Kind == rpc.Tokened {
+			m.Window = 30
+		}
+		plan.Site.Methods = append(plan.Site.Methods, m)
+	}
+	floor := 1
+	switch kind {
+	case "off":
+		plan.Off = true
+	case "even":
+		floor = sharedLimit / sharedOn // nothing is left to grant
+	}
+	plan.Laws = []string{"fleet.voters " + strings.Join(names(5), " "), "fleet.lease " + rehearsedLease.String(), "fleet.share behind " + limit +
+		" lookup check record", fmt.Sprintf("fleet.floor %d %s", floor, strings.Join(all, " "))}
+	var err error
+	r.Swarm, err = rig.NewSwarm(plan)
+	return r, err
+}
+
+// enter names the part of the run that what is asked from now on belongs to.
+func (r *pool) enter(phase string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.phase = phase
+}
+
+// ask has callers ask all app servers, each at a rate of its own that may change.
+func (r *pool) ask(p *play, length time.Duration, rate func(name string) float64) {
+	began := time.Now()
+	var group sync.WaitGroup
+	for k, name := range r.Names() {
+		group.Go(func() {
+			router := rig.NewRouter(k+1, r.Addresses(name)[0])
+			defer router.Close()
+			l := rig.Load{Seed: p.Seed + uint64(k)<<32, Length: length, Prefix: name + "-", Shares: sharedLoad(),
+				Rate: func(float64) float64 { return rate(name) },
+				Before: func(s rig.Share, work float64) {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					if s.Method != "plain" {
+						r.asked = append(r.asked, demanded{time.Since(began).Seconds(), work, s.Criticality, r.phase})
+					}
+				},
+				After: func(s rig.Share, _, _ string, _ []byte, err error) {
+					r.mu.Lock()
+					defer r.mu.Unlock()
+					got := 0.0
+					if err == nil {
+						got = s.Criticality
+					}
+					into := r.ok
+					if s.Method == "plain" {
+						into = r.plain
+					}
+					o := into[r.phase]
+					into[r.phase] = [2]float64{o[0] + got, o[1] + s.Criticality}
+				}}
+			l.Run(context.Background(), r.Check, router)
+		})
+	}
+	group.Wait()
+}
+
+// part is what was served of what was asked in a phase, by criticality.
+func (r *pool) part(phase string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	o := r.ok[phase]
+	return o[0] / max(o[1], 1e-9)
+}
+
+// best is what somebody would serve who knew everything at once, with no way to go and nothing at random: in each half second
+// the most worthy first, as far as the limit goes.
+func (r *pool) best(phase string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	const span = 0.5
+	windows := map[int][]demanded{}
+	all, got := 0.0, 0.0
+	for _, d := range r.asked {
+		if d.phase == phase {
+			windows[int(d.at/span)] = append(windows[int(d.at/span)], d)
+			all += d.criticality
+		}
+	}
+	for _, w := range windows {
+		slices.SortFunc(w, func(a, b demanded) int {
+			switch x, y := a.criticality/max(a.work, 1e-4), b.criticality/max(b.work, 1e-4); {
+			case x > y:
+				return -1
+			case x < y:
+				return 1
+			}
+			return 0
+		})
+		left := span * sharedLimit
+		for _, d := range w {
+			if left -= d.work; left < 0 {
+				break
+			}
+			got += d.criticality
+		}
+	}
+	return got / max(all, 1e-9)
+}
+
+// keeper asks the processes who keeps the share, and what everybody has.
+func (r *pool) keeper() (name string, s fleet.Share) {
+	for _, n := range r.Running() {
+		shown, err := member.Ask(r.Socket(n))
+		if err != nil || shown.Offices == nil {
+			continue
+		}
+		var f fleet.Shown
+		if json.Unmarshal(shown.Offices, &f) == nil && len(f.Shares) > 0 && f.Shares[0].Limit > 0 {
+			return n, f.Shares[0]
+		}
+	}
+	return "", fleet.Share{}
+}
+
+// playShare is the rehearsal of a common limit: demand that moves, a keeper killed, stopped and cut off, a holder killed, a lower
+// limit, all restarted; beside it an even split, and no common limit.
+func playShare(p *play) error {
+	kinds := []string{"on", "even", "off"}
+	pools, errs := make([]*pool, 3), make([]error, 3)
+	var group sync.WaitGroup
+	for k, kind := range kinds {
+		group.Go(func() { pools[k], errs[k] = p.reservoir(kind, fmt.Sprint(sharedLimit)) })
+	}
+	group.Wait()
+	for _, r := range pools {
+		if r != nil && r.Swarm != nil {
+			defer r.Close()
+		}
+	}
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	on, even, off := pools[0], pools[1], pools[2]
+	keeper := ""
+	took, _ := on.Until(10*time.Second, func() bool { keeper, _ = on.keeper(); return keeper != "" })
+	p.atMost("first.keeper.s", took, 10)
+	p.untilAlike(on.Swarm, 10*time.Second, sharedOn, on.Names())
+	time.Sleep(2 * time.Second) // the floors' wait for former lives is over
+
+	// The load: at first most of it at one app server, which changes every two seconds; then more than there is, everywhere.
+	const whole = sharedLimit / sharedWork / 0.85 // RPCs a second that fill the limit
+	const skewed = 0.75                           // of it
+	var mu sync.Mutex
+	hot, rate := "n1", skewed*whole
+	rates := func(name string) float64 {
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case hot == "":
+			return rate / sharedOn
+		case hot == name:
+			return 0.6 * rate
+		}
+		return 0.4 * rate / (sharedOn - 1)
+	}
+	move := func(to string, r float64) {
+		mu.Lock()
+		defer mu.Unlock()
+		hot, rate = to, r
+	}
+	length := p.span(36 * time.Second)
+	var loads sync.WaitGroup
+	for _, r := range pools {
+		r.enter("start")
+		loads.Go(func() { r.ask(p, length, rates) })
+	}
+	time.Sleep(time.Second)
+	for _, r := range pools {
+		r.enter("skewed")
+	}
+	follows := 0.0
+	for _, name := range []string{"n2", "n5", "n8", "n3"} {
+		move(name, skewed*whole)
+		began := time.Now()
+		took := math.Inf(1)
+		for time.Since(began) < 2*time.Second {
+			if _, n := on.behind.Now(name); n >= sharedLimit/3 && math.IsInf(took, 1) {
+				took = time.Since(began).Seconds()
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		follows = max(follows, took)
+	}
+	p.atMost("follows.demand.s", follows, 2)
+	for _, r := range pools {
+		r.enter("full")
+	}
+	move("", 1.5*whole)
+	time.Sleep(time.Second)
+	on.behind.Used()
+	even.behind.Used()
+	time.Sleep(3 * time.Second)
+	p.atLeast("used.steady", on.behind.Used()/sharedLimit, 0.9)
+	p.inform("used.steady.even", even.behind.Used()/sharedLimit)
+	for _, r := range pools {
+		r.enter("faults")
+	}
+	// Somebody else is to keep it: use stays above the floors, and comes back.
+	change := func(how, script string) {
+		was, _ := on.keeper()
+		on.behind.Used()
+		began := time.Now()
+		errs[0] = errors.Join(errs[0], on.Run(strings.ReplaceAll(script, "KEEPER", was)))
+		now, back := "", math.Inf(1)
+		least := 1.0
+		for time.Since(began) < 4*rehearsedLease {
+			time.Sleep(250 * time.Millisecond)
+			used := on.behind.Used() / sharedLimit
+			least = min(least, used)
+			if now == "" {
+				if now, _ = on.keeper(); now == was {
+					now = ""
+				}
+			}
+			if now != "" && used >= 0.9 {
+				back = time.Since(began).Seconds()
+				break
+			}
+		}
+		p.atMost("back.s."+how, back, 3*rehearsedLease.Seconds())
+		p.atLeast("used.least."+how, least, float64(sharedOn-1)/sharedLimit)
+	}
+	change("killed", "0s kill KEEPER")
+	for _, name := range on.Names() {
+		if !slices.Contains(on.Running(), name) {
+			errs[0] = errors.Join(errs[0], on.Run("0s start "+name))
+		}
+	}
+	keeper, _ = on.keeper()
+	change("stopped", "0s stop KEEPER")
+	errs[0] = errors.Join(errs[0], on.Run("1500ms cont "+keeper))
+	keeper, _ = on.keeper()
+	others := slices.DeleteFunc(on.Names(), func(n string) bool { return n == keeper })
+	change("cut", "0s split KEEPER,"+strings.Join(others[len(others)-3:], ",")+"|"+strings.Join(others[:4], ","))
+	errs[0] = errors.Join(errs[0], on.Run("1s heal\n1s kill "+others[0]+"\n2s start "+others[0]+"\n2s stop "+others[1]+"\n5500ms cont "+others[1]))
+	p.exactly("over.limit", float64(on.behind.Over()), 0)
+	loads.Wait()
+	if err := errors.Join(errs...); err != nil {
+		return err
+	}
+	// All restarted cold, and at once full again.
+	move("", 1.5*whole)
+	for _, name := range on.Names() {
+		errs[0] = errors.Join(errs[0], on.Run("0s kill "+name))
+	}
+	var starts sync.WaitGroup
+	for _, name := range on.Names() {
+		starts.Go(func() { on.Run("0s start " + name) })
+	}
+	starts.Wait()
+	on.enter("again")
+	on.ask(p, 4*time.Second, rates)
+	p.exactly("over.limit.restarted", float64(on.behind.Over()), 0)
+	p.inform("served.restarted", on.part("again"))
+	p.atLeast("over.limit.off", float64(off.behind.Over()), 1)
+	p.exactly("over.limit.even", float64(even.behind.Over()), 0)
+	for _, phase := range []string{"skewed", "full"} {
+		p.inform("best."+phase, on.best(phase))
+		p.atLeast("criticality.ok."+phase, on.part(phase)/on.best(phase), 0.9)
+		p.inform("criticality.even."+phase, even.part(phase))
+	}
+	p.atLeast("criticality.of.even.skewed", on.part("skewed")/even.part("skewed"), 1.3)
+	for _, phase := range []string{"skewed", "full"} { // nothing else is done to either then
+		a, b := on.plain[phase], off.plain[phase]
+		p.atLeast("plain.of.off."+phase, a[0]/a[1]/(b[0]/b[1]), 0.98)
+	}
+	p.breaches(on.Swarm, even.Swarm, off.Swarm)
+	return p.keep(on.Swarm)
+}
--- a/cmd/valveglade/fleet.go
+++ b/cmd/valveglade/fleet.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -32,32 +33,55 @@
 			to.SetIndent("", " ")
 			return to.Encode(shown)
 		}}
-	c.AddCommand(&cobra.Command{Use: "owners", Short: "show who owns which office, as far as the app server here knows", Args: cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
+	// part shows one part of what is told beside the view.
+	part := func(use, short string, show func(to io.Writer, s fleet.Shown) any) {
+		c.AddCommand(&cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			shown, err := ask(*bylaws, socket)
 			if err != nil {
 				return err
 			}
-			var owners []fleet.Owner
+			var s fleet.Shown
 			if shown.Offices != nil {
-				if err := json.Unmarshal(shown.Offices, &owners); err != nil {
-					return fmt.Errorf("its offices cannot be read: %w", err)
+				if err := json.Unmarshal(shown.Offices, &s); err != nil {
+					return fmt.Errorf("what it tells cannot be read: %w", err)
 				}
 			}
-			if asJSON {
-				return json.NewEncoder(cmd.OutOrStdout()).Encode(owners)
-			}
 			t := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
-			fmt.Fprintln(t, "OFFICE\tOWNER\tTERM\tLEASE LEFT\tSINCE\tLAST REFUSED FOR BEING LATE")
-			for _, o := range owners {
-				who := cmp.Or(o.Owner, "not known")
-				if o.Owns {
-					who += " (this one)"
-				}
-				fmt.Fprintf(t, "%s\t%s\t%d\t%gs\t%s\t%s\n", o.Office, who, o.Term, o.Left, o.Since, o.Late)
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(show(io.Discard, s))
 			}
+			show(t, s)
 			return t.Flush()
 		}})
+	}
+	part("owners", "show who owns which office, as far as the app server here knows", func(to io.Writer, s fleet.Shown) any {
+		fmt.Fprintln(to, "OFFICE\tOWNER\tTERM\tLEASE LEFT\tSINCE\tLAST REFUSED FOR BEING LATE")
+		for _, o := range s.Offices {
+			who := cmp.Or(o.Owner, "not known")
+			if o.Owns {
+				who += " (this one)"
+			}
+			fmt.Fprintf(to, "%s\t%s\t%d\t%gs\t%s\t%s\n", o.Office, who, o.Term, o.Left, o.Since, o.Late)
+		}
+		return s.Offices
+	})
+	part("shares", "show the fleet's common limits: what this app server has of them and, on the keeper, what everybody has",
+		func(to io.Writer, s fleet.Shown) any {
+			fmt.Fprintln(to, "SHARE\tAPP SERVER\tLIMIT\tFLOOR\tGRANTED\tRUNNING\tWAITING\tENDS IN\tREMARKS")
+			for _, one := range s.Shares {
+				limit := "-"
+				if one.Limit > 0 {
+					limit = fmt.Sprint(one.Limit)
+				}
+				fmt.Fprintf(to, "%s\tthis one\t%s\t%d\t%d\t%d\t%d\t%gs\tkept by %s\n", one.Name, limit, one.Floor, one.Granted, one.Running,
+					one.Waiting, one.Left, cmp.Or(one.Keeper, "nobody that is known"))
+				for _, h := range one.Holders {
+					fmt.Fprintf(to, "%s\t%s\t\t\t%d\t%d\t%d\t%gs\thas at most %d, asked %gs ago\n", one.Name, h.Name, h.Given, h.Uses,
+						max(h.Wants-h.Uses, 0), h.Left, h.Had, h.Heard)
+				}
+			}
+			return s.Shares
+		})
 	c.PersistentFlags().BoolVar(&asJSON, "json", false, "as JSON")
 	c.PersistentFlags().StringVar(&socket, "socket", "", "the local socket, instead of the operators' file's")
 	return c
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -36,7 +36,8 @@
 	Folder string       // for a voter's promises; empty where nothing lasts
 	Fit    func() error // why this process should not stand now, nil if it may
 	Now    func() time.Time
-	Clock  func() float64 // a monotonic clock, in seconds; the system's if nil
+	Clock  func() float64  // a monotonic clock, in seconds; the system's if nil
+	Others func() []string // who else there is, as far as the view shows
 }
 
 // Work is what is done by the owner of an office. Its context ends before the lease does; it has to return then, and do
@@ -58,6 +59,8 @@
 	mu      sync.Mutex
 	offices map[string]*office
 	refused atomic.Int64 // orders of ours that were too late
+	lender  atomic.Pointer[Lender]
+	lending chan grantMessage
 }
 
 // office is one office as this process stands for it.
@@ -86,11 +89,15 @@
 	if seal.Now == nil {
 		seal.Now = time.Now
 	}
+	if seal.Others == nil {
+		seal.Others = func() []string { return nil }
+	}
 	if seal.Fit == nil {
 		seal.Fit = func() error { return nil }
 	}
 	f := &Fleet{seal: seal, carrier: carrier, log: log, life: owner.Life{Name: seal.Name, Birth: rand.Uint64()},
 		heard: make(chan owner.Message, mostWaiting), asked: make(chan owner.Message, mostWaiting), quick: make(chan struct{}, 1),
+		lending: make(chan grantMessage, mostWaiting),
 		offices: map[string]*office{}, leaving: make(chan struct{})}
 	f.leave = sync.OnceFunc(func() { close(f.leaving) })
 	return f, nil
@@ -149,15 +156,30 @@
 				o.candidate.Hear(m, f.seal.Clock())
 			}
 			f.mu.Unlock()
+		case m := <-f.lending:
+			if l := f.lender.Load(); l != nil {
+				l.take(m)
+			}
+			continue
 		case <-f.quick:
 		case <-tick.C:
 		}
 		f.turn(live, left)
+		if l := f.lender.Load(); l != nil {
+			l.turn()
+		}
 	}
 }
 
 // receive sorts what comes.
 func (f *Fleet) receive(_ string, payload []byte) {
+	if g, err := decodeGrant(payload, f.seal.Name); err == nil {
+		select {
+		case f.lending <- g:
+		default:
+		}
+		return
+	}
 	m, err := decode(payload)
 	if err != nil {
 		return // member has checked that it came whole: it is of a version that is not ours
@@ -352,6 +374,21 @@
 	return all
 }
 
+// Shown is what operators are shown of it.
+type Shown struct {
+	Offices []Owner `json:"offices"`
+	Shares  []Share `json:"shares,omitempty"`
+}
+
+// Shown tells all that there is to show.
+func (f *Fleet) Shown() Shown {
+	s := Shown{Offices: f.Owners()}
+	if l := f.lender.Load(); l != nil {
+		s.Shares = l.Shares()
+	}
+	return s
+}
+
 // Fence is held by whoever carries out orders: it is owner.Fence for many goroutines, with errors that say why.
 type Fence struct {
 	mu    sync.Mutex
--- a/fleet/packet.go
+++ b/fleet/packet.go
@@ -34,31 +34,13 @@
 		return m, errNotOurs
 	}
 	m.Word = owner.Word(b[3])
-	b = b[4:]
-	text := func() string {
-		if len(b) == 0 || len(b) < 1+int(b[0]) {
-			b, err = nil, errNotOurs
-			return ""
-		}
-		s := string(b[1 : 1+b[0]])
-		b = b[1+len(s):]
-		return s
-	}
-	number := func() uint64 {
-		if len(b) < 8 {
-			b, err = nil, errNotOurs
-			return 0
-		}
-		n := binary.BigEndian.Uint64(b)
-		b = b[8:]
-		return n
-	}
-	m.Office, m.From.Name, m.From.Birth, m.To = text(), text(), number(), text()
-	m.Term, m.Round, m.Left = number(), number(), math.Float64frombits(number())
-	m.Holder = text()
+	r := reading{b: b[4:]}
+	m.Office, m.From.Name, m.From.Birth, m.To = r.text(), r.text(), r.number(), r.text()
+	m.Term, m.Round, m.Left = r.number(), r.number(), math.Float64frombits(r.number())
+	m.Holder = r.text()
 	switch {
-	case err != nil:
-		return owner.Message{}, err
+	case r.err != nil:
+		return owner.Message{}, r.err
 	case m.Word > owner.Refused || m.Office == "" || len(m.Office) > owner.MostLetters || m.Term > mostTerm || !(m.Left >= 0):
 		return owner.Message{}, errNotOurs
 	}
--- a/gate/actions.go
+++ b/gate/actions.go
@@ -3,6 +3,10 @@
 // actions is the gate as the module sees it.
 type actions[T any] Gate[T]
 
+func (a *actions[T]) criticality(i int) float64 {
+	return a.charter.Methods[a.slots[i].method].Criticality
+}
+
 func (a *actions[T]) gate() *Gate[T] { return (*Gate[T])(a) }
 
 func (a *actions[T]) job(i int, do Do) {
@@ -10,7 +14,19 @@
 	a.jobs = append(a.jobs, Job[T]{Do: do, RPC: ID{i, s.life}, For: s.who})
 }
 
+func (a *actions[T]) Short(method int) int {
+	if a.permits == nil {
+		return 0
+	}
+	return a.permits.Short(method)
+}
+
 func (a *actions[T]) Start(i int) {
+	a.gate().unwait(i)
+	a.slots[i].runs = true
+	if a.permits != nil {
+		a.permits.Began(a.slots[i].method, a.criticality(i))
+	}
 	if s := &a.slots[i]; s.entry != nil && s.entry.runner == (ID{i, s.life}) {
 		s.entry.state = started
 	}
@@ -41,6 +57,7 @@
 }
 
 func (a *actions[T]) Follow(i int) {
+	a.gate().unwait(i) // it runs nothing
 	if e := a.slots[i].entry; e.proven() {
 		a.ended = append(a.ended, i)
 	} else {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -58,6 +58,22 @@
 	from  int     // its caller's index
 	ahead float64 // by how much recv lies ahead of the clock
 	entry *entry  // under which the module knows its token
+
+	method int
+	waits  bool // it has been told to the permits as waiting
+	runs   bool // it holds a permit
+}
+
+// Permits are what common limits of several app servers leave to this one. They are asked under the gate's lock, and call
+// nothing of it; a method's index is the charter's.
+type Permits interface {
+	// Short tells which limit keeps RPCs of a method from being started now, from 1; 0 if none does.
+	Short(method int) int
+	// Waits takes in one more RPC that waits to be started, or with -1 one less.
+	Waits(method, n int, criticality float64)
+	// Began and Over take in that one was started, and that its run has ended after so many seconds; 0 where it never ran.
+	Began(method int, criticality float64)
+	Over(method int, criticality, took float64)
 }
 
 // Gate is safe for use by many goroutines. No method but Pick blocks.
@@ -82,6 +98,38 @@
 	reap    float64
 	wake    float64
 	notes   []string
+	permits Permits // nil where there are no common limits
+}
+
+// Under has the gate start nothing without permits. It is called before anything arrives.
+func (g *Gate[T]) Under(p Permits) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.permits = p
+}
+
+// wait tells the permits of an RPC that may have to wait; unwait, that it waits no longer.
+func (g *Gate[T]) wait(i int) {
+	if s := &g.slots[i]; g.permits != nil {
+		s.waits = true
+		g.permits.Waits(s.method, 1, (*actions[T])(g).criticality(i))
+	}
+}
+
+func (g *Gate[T]) unwait(i int) {
+	if s := &g.slots[i]; s.waits {
+		s.waits = false
+		g.permits.Waits(s.method, -1, (*actions[T])(g).criticality(i))
+	}
+}
+
+// over gives back an RPC's permit.
+func (g *Gate[T]) over(i int, took float64) {
+	if s := &g.slots[i]; s.runs {
+		if s.runs = false; g.permits != nil {
+			g.permits.Over(s.method, (*actions[T])(g).criticality(i), took)
+		}
+	}
 }
 
 // caller is what is kept by its index: the number it goes by, its RPCs in hand, when it last sent one.
@@ -171,8 +219,11 @@
 	g.spare = g.spare[:len(g.spare)-1]
 	s := &g.slots[i]
 	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, from: from,
-		ahead: max(recv-now, 0)}
+		ahead: max(recv-now, 0), method: method}
 	g.move(i, owed)
+	if method < len(g.charter.Methods) {
+		g.wait(i)
+	}
 	id = ID{i, s.life}
 	repeats := rpc.None
 	if e != nil {
@@ -230,6 +281,10 @@
 		return
 	}
 	g.clock(now)
+	if how.NeverRan() {
+		took = 0
+	}
+	g.over(id.i, took)
 	if e := g.slots[id.i].entry; e != nil && e.runner == id {
 		g.ended = append(g.ended, g.tokens.finish(e, how, result)...)
 		if how.NeverRan() {
@@ -372,7 +427,12 @@
 func (g *Gate[T]) move(i int, to state) {
 	s := &g.slots[i]
 	s.state = to
+	if to == done {
+		g.unwait(i) // whoever was answered waits no longer
+	}
 	if to == free {
+		g.unwait(i)
+		g.over(i, 0)
 		if s.entry != nil {
 			s.entry.unfollow(i)
 		}
--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -15,6 +15,7 @@
 	further bool    // arrivals are marked as further tries
 	credits bool    // print the credit too
 	reaps   bool    // print when idle connections are closed, and nothing else
+	short   int     // method that a common limit keeps from starting, plus one; 0 for none
 }
 
 const (
@@ -66,6 +67,12 @@
 	}
 }
 
+func (d *desk) Short(method int) int {
+	if method+1 == d.short {
+		return 1
+	}
+	return 0
+}
 func (d *desk) Start(i int)               { d.say("start %d", i) }
 func (d *desk) Stop(i int)                { d.say("stop %d", i) }
 func (d *desk) Call(i int, p float64)     { d.say("call %d, patience %.2f", i, p) }
--- a/logic/hold.go
+++ b/logic/hold.go
@@ -7,14 +7,21 @@
 // shed refuses one RPC while the delay passes the mark, and as many as it takes while memory runs short.
 // Which one goes by criticality over the share of its method that has lately been ok, so that no method
 // starves; among equals it is the one that has just come.
+//
+// What waits for a limit common to several app servers is a queue of its own, with the same mark: it says nothing of the
+// cores, and is no reason to refuse what does not need that limit.
 func (m *Module) shed(i int) {
-	for over := m.delay() > m.mark; len(m.hold) > 0 && (over || m.memory() > m.room()); over = false {
+	queue := 0
+	if m.rpcs[i].state == held && m.lacks(i) {
+		queue = m.rpcs[i].short
+	}
+	for over := m.oldest(queue) > m.mark; len(m.hold) > 0 && (over || m.memory() > m.room()); over = false {
 		least := m.hold[len(m.hold)-1]
 		if m.rpcs[i].state == held {
 			least = i
 		}
 		for _, j := range m.hold {
-			if m.value(j) < m.value(least) {
+			if m.value(j) < m.value(least) && (!over || m.rpcs[j].short == queue) {
 				least = j
 			}
 		}
@@ -37,12 +44,17 @@
 	return m.refused > 0.3*(m.arrived+4) && (!m.Clients.MarksRetry || m.further > 0.3*m.arrived)
 }
 
-// delay is d_m: the age of the oldest held RPC, reading wait included.
-func (m *Module) delay() float64 {
-	if len(m.hold) == 0 {
-		return 0
+// delay is d_m: the age of the oldest held RPC that waits for the cores, reading wait included.
+func (m *Module) delay() float64 { return max(m.oldest(0), 0) }
+
+// oldest is the age of the oldest held RPC that waits for a limit, 0 for the cores; -1 if none does.
+func (m *Module) oldest(short int) float64 {
+	for _, i := range m.hold {
+		if m.rpcs[i].short == short {
+			return m.now - m.rpcs[i].arrival
+		}
 	}
-	return m.now - m.rpcs[m.hold[0]].arrival
+	return -1
 }
 
 // goodUntil is when an answer stops being worth its full criticality.
@@ -57,7 +69,7 @@
 	if r := &m.records[w.method]; r.givenUp >= 4 {
 		until = min(until, w.arrival+r.patience)
 	}
-	return m.now > until || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2 &&
+	return m.now > until || (w.short > 0 || m.count[running]+m.count[adrift] >= (m.Machine.Cores+1)/2) &&
 		m.now+runMargin*m.records[w.method].late.median() > until
 }
 
@@ -74,7 +86,7 @@
 		m.refuse(i, m.swamped() || m.now-w.asked > m.Methods[w.method].Target/2)
 		return
 	case w.state != following && m.Methods[w.method].Kind == rpc.Idempotent:
-		m.do.PushBack(i, true, m.advice())
+		m.do.PushBack(i, true, m.advice(w.short))
 	default:
 		m.do.Abort(i)
 	}
@@ -88,7 +100,7 @@
 		m.walked += (m.now - m.rpcs[i].asked - m.walked) / 16
 	}
 	m.forget(i)
-	m.do.PushBack(i, last, m.advice())
+	m.do.PushBack(i, last, m.advice(m.rpcs[i].short))
 	m.move(i, absent)
 }
 
@@ -116,14 +128,14 @@
 }
 
 // advice is when to come back: when the delay should be back at its target.
-func (m *Module) advice() float64 {
+func (m *Module) advice(short int) float64 {
 	switch {
 	case !m.Ceilings.RetryAfter:
 		return 0
 	case m.leaving:
 		return m.Ceilings.MaxRetryAfter
 	}
-	return min(max(m.delay()-m.dt, 0), m.Ceilings.MaxRetryAfter)
+	return min(max(m.oldest(short)-m.dt, 0), m.Ceilings.MaxRetryAfter)
 }
 
 // sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can be
@@ -134,7 +146,7 @@
 		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
 		if w.state.owed() && (m.now > w.due-margin || w.state == held && m.hopeless(w) ||
 			lost && (w.state == stalled || w.state == calling || w.state == running &&
-				len(m.hold) > 0 && m.Machine.Preemption != rpc.Unstoppable)) {
+				m.oldest(0) >= 0 && m.Machine.Preemption != rpc.Unstoppable)) {
 			m.giveUp(i)
 		}
 	}
--- a/logic/owner/grant.go
+++ b/logic/owner/grant.go
@@ -140,6 +140,18 @@
 	return g
 }
 
+// Held is what a holder was last answered, or told, whichever came last.
+func (g *Granter) Held(life Life) int {
+	h := g.ledger[life]
+	if h == nil {
+		return 0
+	}
+	return max(h.given, h.told)
+}
+
+// Term is the one that it grants under.
+func (g *Granter) Term() uint64 { return g.term }
+
 // Settled tells whether nothing is left of what former owners granted.
 func (g *Granter) Settled(now float64) bool { return now >= g.settled }
 
--- a/logic/running.go
+++ b/logic/running.go
@@ -38,6 +38,8 @@
 			m.giveUp(i)
 		case m.memory()+w.kb*(m.Machine.RunFactor-1) > m.room(), calls && off >= waitsPerCore*m.Machine.Cores:
 			k++
+		case m.lacks(i):
+			k++
 		default:
 			w.began = m.now
 			if on == 0 {
@@ -49,6 +51,14 @@
 	}
 }
 
+// lacks tells whether a held RPC waits for a limit that is common to several app servers, whatever the cores say. Others
+// are started past it.
+func (m *Module) lacks(i int) bool {
+	w := &m.rpcs[i]
+	w.short = m.do.Short(w.method)
+	return w.short > 0
+}
+
 // adjust follows the cores: the limit grows fast while some idle and work waits, and falls back to one RPC a
 // core, as more would only slow each other.
 func (m *Module) adjust(gauges []float64) {
@@ -58,7 +68,7 @@
 	}
 	rise := on - float64(m.count[running]+m.count[adrift]) - m.beside
 	m.beside += max(rise, 0.1*rise) * tick // up within a second, down over ten
-	if len(m.hold) > 0 {
+	if m.oldest(0) >= 0 {
 		m.limit += max(m.cores()-on, 0) * gain * tick
 	}
 	m.limit += (m.cores() - m.limit) * fade * tick
--- a/logic/states.go
+++ b/logic/states.go
@@ -25,6 +25,7 @@
 type work struct {
 	state                 state
 	method, caller, tries int     // tries of the call in need
+	short                 int     // the limit common to the fleet that it waits for, 0 for none
 	arrival, asked        float64 // here, and its first try, as far as can be told
 	due, kb               float64
 	began, dialed         float64 // when it was started, and its call placed
--- a/logic/tokens.go
+++ b/logic/tokens.go
@@ -14,7 +14,7 @@
 	e, w := &m.rpcs[earlier], &m.rpcs[i]
 	m.dropKey(e) // its entry goes over to the further try
 	m.remember(i)
-	m.do.PushBack(earlier, true, m.advice())
+	m.do.PushBack(earlier, true, m.advice(0))
 	arrival, asked := e.arrival, e.asked
 	m.move(earlier, absent)
 	w.arrival, w.asked = min(w.arrival, arrival), min(w.asked, asked)
--- /dev/null
+++ b/rig/behind.go
@@ -0,0 +1,100 @@
+package rig
+
+import (
+	"sync"
+	"time"
+)
+
+// Behind stands in for what stands behind all app servers and bears only so much at once. Kernels tell it of the runs of some
+// methods. A killed app server's runs go on there until their work is done.
+type Behind struct {
+	methods map[string]bool
+
+	mu    sync.Mutex
+	limit int // of runs at once
+	now   int
+	by    map[string]int // of each app server
+	most  int            // above the limit, at any moment
+	bears int            // above so many everything takes longer; 0 for none
+	area  float64        // runs at once over time, since it was last asked
+	from  time.Time
+	last  time.Time
+}
+
+// NewBehind counts runs of some methods against a limit.
+func NewBehind(limit int, methods ...string) *Behind {
+	b := &Behind{limit: limit, methods: map[string]bool{}, by: map[string]int{}, from: time.Now(), last: time.Now()}
+	for _, m := range methods {
+		b.methods[m] = true
+	}
+	return b
+}
+
+// counts tells whether runs of a method reach it.
+func (b *Behind) counts(method string) bool { return b != nil && b.methods[method] }
+
+func (b *Behind) add(server string, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pass()
+	b.now += n
+	b.by[server] += n
+	b.most = max(b.most, b.now-b.limit)
+}
+
+func (b *Behind) pass() {
+	now := time.Now()
+	b.area += float64(b.now) * now.Sub(b.last).Seconds()
+	b.last = now
+}
+
+// Limit changes it, and begins to count anew what passes it.
+func (b *Behind) Limit(limit int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limit, b.most = limit, b.now-limit
+}
+
+// Bears has everything take longer past so many runs at once, as many times as there are more.
+func (b *Behind) Bears(runs int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bears = runs
+}
+
+// slower is how many times as long everything takes now.
+func (b *Behind) slower() float64 {
+	if b == nil {
+		return 1
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.bears == 0 {
+		return 1
+	}
+	return max(1, float64(b.now)/float64(b.bears))
+}
+
+// Over is by how many runs the limit was passed at the most; 0 if never.
+func (b *Behind) Over() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return max(b.most, 0)
+}
+
+// Now is how many run, in all and of one app server.
+func (b *Behind) Now(server string) (all, one int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.now, b.by[server]
+}
+
+// Used is how many have run at once on the mean, since it was last asked.
+func (b *Behind) Used() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.pass()
+	used := b.area / max(b.last.Sub(b.from).Seconds(), 1e-9)
+	b.area, b.from = 0, b.last
+	return used
+}
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -16,6 +16,7 @@
 	cores    float64
 	server   string // whose kernel it is, for the checker
 	check    *Checker
+	behind   *Behind // what its runs reach, nil for nothing
 
 	mu      sync.Mutex
 	link    net.Conn
@@ -35,6 +36,7 @@
 	left    float64 // seconds of work
 	began   time.Time
 	stopped bool // it was asked to stop
+	behind  bool // it counts there
 }
 
 // NewKernel listens on a free port.
@@ -80,6 +82,12 @@
 func (k *Kernel) Restart() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.pass()
+	for _, r := range k.runs {
+		if r.behind { // nobody takes it back there
+			time.AfterFunc(time.Duration(max(r.left, 0)/max(k.rate(), 0.01)*float64(time.Second)), func() { k.behind.add(k.server, -1) })
+		}
+	}
 	k.runs, k.notices = map[string]*run{}, nil
 	k.looked, k.began = time.Now(), time.Now()
 	if k.link != nil {
@@ -138,7 +146,7 @@
 		case "SYSINFO":
 			fmt.Fprintf(nc, `{"action":"INFO","echo":"%s","meters":[]}`+"\n", m.Echo)
 		case "SCHED":
-			k.start(m.UID, m.Content)
+			k.start(m.UID, m.Lane, m.Content)
 		case "PREEMPT":
 			k.pass()
 			if r := k.runs[m.UID]; r != nil {
@@ -152,7 +160,7 @@
 	}
 }
 
-func (k *Kernel) start(uid string, body []byte) {
+func (k *Kernel) start(uid, lane string, body []byte) {
 	if k.runs[uid] != nil {
 		return
 	}
@@ -163,7 +171,10 @@
 		return
 	}
 	k.check.Started(k.server, id)
-	k.runs[uid] = &run{uid: uid, id: id, left: work, began: time.Now()}
+	k.runs[uid] = &run{uid: uid, id: id, left: work, began: time.Now(), behind: k.behind.counts(lane)}
+	if k.behind.counts(lane) {
+		k.behind.add(k.server, 1)
+	}
 	k.set()
 }
 
@@ -172,7 +183,7 @@
 	if k.hung {
 		return 0
 	}
-	return min(1, k.cores/max(float64(len(k.runs)), 1)) / k.slow
+	return min(1, k.cores/max(float64(len(k.runs)), 1)) / k.slow / k.behind.slower()
 }
 
 // pass takes off the work done since the last look.
@@ -216,6 +227,9 @@
 // end gives notice of a run's end.
 func (k *Kernel) end(r *run, code string, result []byte) {
 	delete(k.runs, r.uid)
+	if r.behind {
+		k.behind.add(k.server, -1)
+	}
 	content, _ := json.Marshal(result)
 	line := fmt.Sprintf(`{"action":"REAP","pos":%d,"uid":"%s","code":"%s","wall_ms":%.3f,"content":%s}`, len(k.notices)+1,
 		r.uid, code, max(time.Since(r.began).Seconds()*1000, 0.001), content)
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,6 +15,7 @@
 	"valveglade/fleet"
 	"valveglade/logic/owner"
 	"valveglade/logic/pressure"
+	"valveglade/logic/share"
 	"valveglade/logic/view"
 	"valveglade/member"
 )
@@ -33,35 +35,32 @@
 	return reserve
 }
 
-// joinFleet makes this app server a member, where the operators have said so; nil otherwise.
-func (s *Server) joinFleet() (*member.Member, error) {
+// joinFleet makes this app server a member, and has it stand for offices, where the operators have said so; nil otherwise.
+func (s *Server) joinFleet() (*member.Member, *fleet.Fleet, error) {
 	laws := s.fleetLaws
 	if !laws.On() {
-		return nil, nil
+		return nil, nil, nil
 	}
 	c := s.charter.Load()
 	if err := laws.Suits(c); err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	terms := view.Defaults()
 	terms.Hold, terms.Forget = laws.Hold, laws.Forget
 	m, err := member.New(member.Papers{Name: c.Name, Zone: laws.Zone, Listen: laws.Listen, Advertise: laws.Advertise,
 		Join: laws.Join, Allow: laws.Allow, Probe: seconds(laws.Probe), Socket: laws.Socket, Terms: terms}, s.log)
 	if err != nil {
-		return nil, fmt.Errorf("fleet: %w", err)
+		return nil, nil, fmt.Errorf("fleet: %w", err)
 	}
 	s.log.Info("fleet joined", zap.Stringer("listen", m.Address()), zap.Int("join", len(laws.Join)))
-	return m, nil
+	f, err := s.standForOffices(m)
+	return m, f, err
 }
 
 // takePart keeps the fleet told of this app server until it has left, and says good-bye in time.
-func (s *Server) takePart(ctx, all context.Context, m *member.Member) error {
+func (s *Server) takePart(ctx, all context.Context, m *member.Member, f *fleet.Fleet) error {
 	part, end := context.WithCancel(all)
 	defer end()
-	f, err := s.standForOffices(m)
-	if err != nil {
-		return err
-	}
 	s.group.Go(func() error {
 		var group errgroup.Group
 		offices, over := context.WithCancel(context.WithoutCancel(part))
@@ -111,6 +110,15 @@
 		return nil, nil
 	}
 	f, err := fleet.New(fleet.Seal{Name: c.Name, Voters: laws.Voters, Folder: laws.State, Fit: func() error { return s.fit(m) },
+		Others: func() []string {
+			var all []string
+			for _, e := range m.View().Members {
+				if e.Name != c.Name {
+					all = append(all, e.Name)
+				}
+			}
+			return all
+		},
 		Span: owner.Span{Lease: laws.Lease, Drift: laws.Drift, Margin: laws.Lease * marginShare}}, m, s.log)
 	if err != nil {
 		return nil, err
@@ -120,10 +128,39 @@
 			return nil, err
 		}
 	}
-	m.Offices(func() any { return f.Owners() })
+	if len(laws.Shares) > 0 {
+		lender, err := f.Lend(shareTerms(laws, c), len(c.Methods))
+		if err != nil {
+			return nil, err
+		}
+		s.lender.Store(lender)
+		s.gate.Under(lender)
+	}
+	m.Offices(func() any { return f.Shown() })
 	return f, nil
 }
 
+// lentFor is for how many leases a grant of a share lasts: through a change of keeper, which takes up to two. Longer, what
+// somebody had who died would be missed for longer.
+const lentFor = 2
+
+// shareTerms puts the shares of the operators' file in the words of those who decide on them. What was begun under a grant goes on
+// for as long as its RPC may take.
+func shareTerms(laws charter.Fleet, c *charter.Charter) []share.Terms {
+	var all []share.Terms
+	for _, one := range laws.Shares {
+		t := share.Terms{Name: one.Name, Limit: one.Limit, Least: one.Least, Target: one.Target, Floor: laws.Floor, Floored: laws.Floored,
+			Loan: owner.Loan{Length: lentFor * laws.Lease, Drift: laws.Drift}}
+		for _, name := range one.Methods {
+			k := slices.Index(c.Methods, name)
+			t.Methods = append(t.Methods, k)
+			t.Loan.Tail = max(t.Loan.Tail, c.Rules.Methods[k].Deadline)
+		}
+		all = append(all, t)
+	}
+	return all
+}
+
 // fit tells why this app server should not stand for an office now.
 func (s *Server) fit(m *member.Member) error {
 	switch sure := m.View().Sure; {
@@ -164,6 +201,15 @@
 		return false
 	}
 	s.fleetRead = b.Fleet
+	// Limits of shares are taken over, if all else is as it was.
+	fixed := b.Fleet
+	fixed.Shares = s.fleetLaws.Shares
+	if l := s.lender.Load(); l != nil && reflect.DeepEqual(fixed, s.fleetLaws) {
+		if err := l.Amend(shareTerms(b.Fleet, s.charter.Load())); err != nil {
+			s.log.Warn("bylaws changed in what stays until the next start", zap.Strings("directives", []string{"fleet.share"}), zap.Error(err))
+		}
+		return true
+	}
 	if !reflect.DeepEqual(b.Fleet, s.fleetLaws) {
 		s.log.Warn("bylaws changed in what stays until the next start", zap.Strings("directives", []string{"fleet.*"}))
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"valveglade/charter"
+	"valveglade/fleet"
 	"valveglade/gate"
 	"valveglade/internal/kernel"
 	"valveglade/internal/roster"
@@ -40,9 +41,10 @@
 
 	ownsProcess atomic.Bool // its memory limit is ours to set
 
-	fleetLaws charter.Fleet // in force from the start
-	fleetRead charter.Fleet // as last read; only Reload's goroutine has it
-	warmAt    atomic.Int64  // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
+	fleetLaws charter.Fleet                // in force from the start
+	fleetRead charter.Fleet                // as last read; only Reload's goroutine has it
+	lender    atomic.Pointer[fleet.Lender] // of permits under common limits; nil where there are none
+	warmAt    atomic.Int64                 // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
 
 	held  atomic.Int64 // bytes of RPCs whose answer is owed, about
 	mu    sync.Mutex
@@ -114,7 +116,7 @@
 // ServeOn is Serve on a listener of the embedder's, which it closes; the process's memory limit is left
 // alone.
 func (s *Server) ServeOn(ctx context.Context, listener *net.TCPListener) error {
-	fleet, err := s.joinFleet()
+	member, offices, err := s.joinFleet()
 	if err != nil {
 		listener.Close()
 		return err
@@ -124,8 +126,8 @@
 	var all context.Context
 	s.group, all = errgroup.WithContext(live)
 	s.group.Go(func() error { return s.accept(all, listener) })
-	if fleet != nil {
-		s.group.Go(func() error { return s.takePart(ctx, all, fleet) })
+	if member != nil {
+		s.group.Go(func() error { return s.takePart(ctx, all, member, offices) })
 	}
 	s.group.Go(func() error { return s.link.Serve(all) })
 	s.group.Go(func() error { return s.dispatch(all) })
