--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -32,6 +32,7 @@
 	{"view-drawn", "the fleet's view under faults drawn from the seed, or read from --script", playViewDrawn},
 	{"owner", "one owner at a time, between deaths, sleeps and cuts, the lowest name of the view as the owner beside", playOwner},
 	{"share", "a limit common to the fleet, between deaths, sleeps, cuts and moving demand, an even split and none beside", playShare},
+	{"share-forty", "ten permits among forty processes", playShareForty},
 	{"share-auto", "a common limit that is found, as what stands behind bears less and more again", playShareAuto},
 	{"view-cost", "what the view costs: 20, 100 and 300 members in one process, at rest and after a fifth have died", playViewCost},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
--- a/cmd/rehearse/share.go
+++ b/cmd/rehearse/share.go
@@ -57,17 +57,7 @@
 func (p *play) reservoir(kind string, limit string) (*pool, error) {
 	all := names(sharedOn)
 	r := &pool{behind: rig.NewBehind(sharedLimit, "lookup", "check", "record"), ok: map[string][2]float64{}, each: map[string][2]float64{}, plain: map[string][2]float64{}}
-	plan := p.plan(sharedOn)
-	plan.Behind = r.behind
-	plan.Site.Cores = 24
-	plan.Site.Methods = nil
-	for _, s := range sharedLoad() {
-		m := rig.SiteMethod{Name: s.Method, Kind: string(s.Kind), Target: 0.8, Deadline: 1, Criticality: s.Criticality}
-		if s.Kind == rpc.Tokened {
-			m.Window = 30
-		}
-		plan.Site.Methods = append(plan.Site.Methods, m)
-	}
+	plan := p.sharedPlan(sharedOn, r.behind)
 	floor := 1
 	switch kind {
 	case "off":
@@ -82,6 +72,22 @@
 	return r, err
 }
 
+// sharedPlan is a swarm whose runs reach what is behind.
+func (p *play) sharedPlan(n int, behind *rig.Behind) rig.Plan {
+	plan := p.plan(n)
+	plan.Behind = behind
+	plan.Site.Cores = 24
+	plan.Site.Methods = nil
+	for _, s := range sharedLoad() {
+		m := rig.SiteMethod{Name: s.Method, Kind: string(s.Kind), Target: 0.8, Deadline: 1, Criticality: s.Criticality}
+		if s.Kind == rpc.Tokened {
+			m.Window = 30
+		}
+		plan.Site.Methods = append(plan.Site.Methods, m)
+	}
+	return plan
+}
+
 // enter names the part of the run that what is asked from now on belongs to.
 func (r *pool) enter(phase string) {
 	r.mu.Lock()
@@ -340,8 +346,20 @@
 	keeper, _ = on.keeper()
 	others := slices.DeleteFunc(on.Names(), func(n string) bool { return n == keeper })
 	change("cut", "0s split KEEPER,"+strings.Join(others[sharedOn/2:], ",")+"|"+strings.Join(others[:sharedOn/2], ","))
+	// While a holder dies, and another is stopped past its grant, everything behind takes ten times as long, and recovers.
+	var slow sync.WaitGroup
+	slow.Go(func() {
+		for _, times := range []float64{10, 1} {
+			time.Sleep(1500 * time.Millisecond)
+			for _, name := range on.Names() {
+				on.Node(name).Kernel.Slow(times)
+			}
+		}
+	})
 	errs[0] = errors.Join(errs[0], on.Run("500ms heal\n500ms kill "+others[0]+"\n500ms stop "+others[1]+"\n1500ms start "+others[0]+"\n4s cont "+others[1]+"\n5s heal"))
+	slow.Wait()
 	p.exactly("over.limit", float64(on.behind.Over()), 0)
+	p.exactly("over.limit.lowered", float64(on.lower(p)), 0)
 	stop()
 	loads.Wait()
 	if err := errors.Join(errs...); err != nil {
@@ -378,6 +396,68 @@
 	return p.keep(on.Swarm)
 }
 
+// lower has a reload lower the limit by a third, and gives by how much that is passed once what was granted before is over.
+func (r *pool) lower(p *play) int {
+	const to = sharedLimit * 2 / 3
+	for _, name := range r.Names() {
+		r.Amend(name, func(laws string) string {
+			return strings.Replace(laws, fmt.Sprintf("behind %d ", sharedLimit), fmt.Sprintf("behind %d ", to), 1)
+		})
+		r.Node(name).Reload()
+	}
+	time.Sleep(2*rehearsedLease + time.Second + 300*time.Millisecond) // grants of two leases, and runs of a second
+	r.behind.Limit(to)
+	r.behind.Used()
+	time.Sleep(time.Second)
+	p.atLeast("used.lowered", r.behind.Used()/to, 0.8)
+	return r.behind.Over()
+}
+
+// playShareForty is the rehearsal of few permits among many: each of forty processes has its turn.
+func playShareForty(p *play) error {
+	const many, few = 40, 10
+	r := &pool{behind: rig.NewBehind(few, "lookup", "check", "record"), ok: map[string][2]float64{}, each: map[string][2]float64{},
+		plain: map[string][2]float64{}}
+	plan := p.sharedPlan(many, r.behind)
+	plan.Laws = []string{"fleet.voters " + strings.Join(names(5), " "), "fleet.lease " + rehearsedLease.String(),
+		fmt.Sprintf("fleet.share behind %d lookup check record", few), "fleet.floor 1 n1 n2"}
+	var err error
+	if r.Swarm, err = rig.NewSwarm(plan); err != nil {
+		return err
+	}
+	defer r.Close()
+	if _, ok := r.Until(10*time.Second, func() bool { who, _ := r.keeper(); return who != "" }); !ok {
+		return errors.New("nobody keeps the share")
+	}
+	p.untilAlike(r.Swarm, 15*time.Second, many, r.Names())
+	time.Sleep(3500 * time.Millisecond) // until the floors may be used
+	r.enter("many")
+	var load sync.WaitGroup
+	length := p.span(12 * time.Second)
+	load.Go(func() { // four times what may run
+		r.ask(context.Background(), p, length, func(string) float64 { return 4 * few / sharedWork / 0.85 / many })
+	})
+	time.Sleep(length / 4)
+	r.behind.Used()
+	time.Sleep(length / 2)
+	p.atLeast("used.steady", r.behind.Used()/few, 0.7)
+	load.Wait()
+	p.exactly("over.limit", float64(r.behind.Over()), 0)
+	starved := 0
+	for _, name := range r.Names() {
+		served := 0.0
+		for _, method := range []string{"lookup", "check", "record"} {
+			served += r.each["many "+name+" "+method][0]
+		}
+		if served == 0 {
+			starved++
+		}
+	}
+	p.exactly("app.servers.starved", float64(starved), 0)
+	p.breaches(r.Swarm)
+	return p.keep(r.Swarm)
+}
+
 // playShareAuto is the rehearsal of a limit that is found: what stands behind takes longer past so many at once, which changes.
 func playShareAuto(p *play) error {
 	r, err := p.reservoir("on", fmt.Sprintf("auto %d-%d %s", sharedOn, 3*sharedLimit, time.Duration(autoTarget*sharedWork*float64(time.Second))))
