Have the walk of claims copy what each state changes

Cause: its counts differed by some dozens from run to run. A desk crosses places off a list in place (logic/claim have), and the walk's copies shared that list with the state that they came from; and a dead owner was still asked whether it had opened, which its key does not tell. Ruled out: the order in which workers meet states (counts of the other walks do not move).

--- a/logic/claim/claim_test.go
+++ b/logic/claim/claim_test.go
@@ -88,7 +88,8 @@
 				all = append(all, tells|uint16(k)<<4|uint16(p))
 			}
 		}
-		if term, ok := s.desks[number(places[p].Owner)].Opens(0); s.heard < p && ok && term == places[p].Term {
+		next := number(places[p].Owner)
+		if term, ok := s.desks[next].Opens(0); s.heard < p && ok && term == places[p].Term && !s.dead[next] {
 			all = append(all, learns|uint16(p))
 		}
 	}
@@ -128,7 +129,7 @@
 		c.slots = map[int]*slot{}
 		for i, x := range d.slots {
 			y := *x
-			y.claims, y.asked = maps.Clone(x.claims), maps.Clone(x.asked)
+			y.claims, y.asked, y.before = maps.Clone(x.claims), maps.Clone(x.asked), slices.Clone(x.before)
 			c.slots[i] = &y
 		}
 		n.desks[k] = &c
