A token whose run goes on outlives its window, so that no repeat runs beside it

A test with a window of 1 s and a run of 7.5 s: the repeat at 1.5 s ran beside the first, and the one at 7.5 s ran again; the repeat at 0.5 s followed the first and heard nothing when that ended. Ruled out: the module, which only asks for the span; Arrive, which finds what the table gives. At fault: table.find let an entry go at recv > end whatever it runs; table.expire forgot entries whose outcome was still to come, and with them those that followed. Now an entry in hand is found past its window, and leaves the list, not the table, until its outcome is there. The letter of the window did not forbid the second run; its effect came twice all the same. Without the change the test prints the above.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -19,7 +19,9 @@
 	ids map[string]ID
 }
 
-func open(cores, keep int) *street {
+func open(cores, keep int) *street { return openTold(cores, keep, func(*rpc.Charter) {}) }
+
+func openTold(cores, keep int, change func(c *rpc.Charter)) *street {
 	c := rpc.Charter{
 		Methods: []rpc.Method{
 			{Kind: rpc.Idempotent, Target: 1.2, Deadline: 4, Criticality: 1},
@@ -29,6 +31,7 @@
 			Preemption: rpc.Freezes, Signal: rpc.Allowance},
 		Rules: rpc.Rules{Crowd: 5, Grace: 1},
 	}
+	change(&c)
 	return &street{Gate: New[string](100, c, keep), now: 100, ids: map[string]ID{}}
 }
 
@@ -334,6 +337,36 @@
 	//  0.00 a: ok "1"
 }
 
+// A window shorter than a run: its repeats wait for the outcome, also those past the window and those that follow for
+// longer than tokens are kept, and none runs beside it. Then the token is free.
+func Example_shortWindow() {
+	s := openTold(2, 1000, func(c *rpc.Charter) { c.Methods[write].Window, c.Methods[write].Deadline = 1, 20 })
+	send := func(name string) {
+		s.ids[name], _ = s.Arrive(s.now, write, 0, s.now, s.now+20, 20, false, name, "t", []byte("body"), name)
+		s.say()
+	}
+	send("a1")
+	s.pass(0.5)
+	send("a2")
+	s.pass(1)
+	send("a3")
+	s.pass(unread + 1)
+	send("a4")
+	s.report("a1", rpc.OK, "done")
+	s.pass(0.1)
+	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest), len(s.tokens.results), s.tokens.bytes)
+	send("b1")
+	s.pass(1)
+	// Output:
+	//  0.00 a1: run
+	//  7.50 a1: ok "done"
+	//  7.50 a2: ok "done"
+	//  7.50 a3: ok "done"
+	//  7.50 a4: ok "done"
+	// 0 0 0 0
+	//  7.60 b1: run
+}
+
 // Pick gives what is decided while it waits.
 func Example_pick() {
 	s := open(1, 1000)
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -23,11 +23,15 @@
 	body      uint64 // digest of what all its tries carry
 	runner    ID     // the try that runs or ran, or is held
 	end       float64
+	unlisted  bool // its time is over, and what it runs is not
 	state     standing
 	result    []byte
 	followers []int
 }
 
+// inHand tells whether an outcome is still to come.
+func (e *entry) inHand() bool { return e.state == waiting || e.state == started }
+
 // proven tells whether the kernel has taken the runner for genuine.
 func (e *entry) proven() bool { return e.state == kept || e.state == failed }
 
@@ -52,9 +56,10 @@
 
 func newTable(limit int) table { return table{entries: map[string]*entry{}, limit: limit} }
 
-// find gives the entry that was live when the repeat came to the machine.
+// find gives the entry that was live when the repeat came to the machine. One whose outcome is still to come lives on past
+// its window: windows may be shorter than RPCs are held and run, and the repeat would run beside what it repeats.
 func (t *table) find(token string, recv float64) *entry {
-	if e := t.entries[token]; e != nil && recv <= e.end {
+	if e := t.entries[token]; e != nil && (recv <= e.end || e.inHand()) {
 		return e
 	}
 	return nil
@@ -65,6 +70,10 @@
 	old := t.entries[token]
 	if old != nil && old.state == waiting {
 		old.body, old.runner, old.end = body, runner, end // those that follow it go on doing so
+		if old.unlisted {
+			old.unlisted = false
+			t.oldest = append(t.oldest, old)
+		}
 		return old
 	}
 	e := &entry{token: token, body: body, runner: runner, end: end}
@@ -102,6 +111,10 @@
 // finish notes the outcome of the try that ran and gives those that wait for it.
 func (t *table) finish(e *entry, how rpc.Outcome, result []byte) []int {
 	e.state = failed
+	if e.unlisted { // its followers get the outcome, and then it goes
+		e.unlisted = false
+		t.oldest = slices.Insert(t.oldest, 0, e)
+	}
 	switch {
 	case how == rpc.OK:
 		e.state, e.result = kept, result
@@ -129,7 +142,11 @@
 
 func (t *table) expire(now float64) {
 	for len(t.oldest) > 0 && t.oldest[0].end+unread < now {
-		t.forget(t.oldest[0])
+		if e := t.oldest[0]; e.inHand() && t.entries[e.token] == e {
+			e.unlisted = true // until its outcome is there
+		} else {
+			t.forget(e)
+		}
 		t.oldest = t.oldest[1:]
 	}
 	t.trim()
