End connections and the process in one way each: owed answers, shutdown, read on, close

Ruled out: a request read after the shutdown and sent on (takeIn looked at shut under the same lock); state of an old configuration after a reload (methods and rules never change in adopt). At fault: conn.shutIdle, contain and out (Close at once), Server.leave (Close of the listener, return at n == 0), accept (nil on ErrClosed), tidy (no look at half a message), gate.Boot (ignored once an RPC had come), healthy. Now a connection has phases that only move changes; end, endAtRest, endNow and fail lead to the same shutdown; the process has stages that only enter changes, admits what the machine had accepted, and ends connections before it ends.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -95,6 +95,7 @@
 	changed chan struct{} // holds one after a change of health, reaping or the notes
 	credit  float64
 	healthy bool
+	booted  bool // the machine is up
 	reap    float64
 	wake    float64
 	notes   []string
@@ -172,15 +173,29 @@
 	return g
 }
 
-// Boot tells when the machine came up, and whether cold. Nothing has been read before; if it has, the
-// module that read it stays.
-func (g *Gate[T]) Boot(at float64, cold bool) {
+// Boot tells when the machine came up, and whether cold; only the first word counts, and is told to be the first. Mostly nothing has been read before;
+// if it has, the module that read it learns it now, and would else send a cold machine as much as a warm one.
+func (g *Gate[T]) Boot(now, at float64, cold bool) (first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.booted {
+		return false
+	}
+	g.booted = true
+	g.charter.Machine.Cold = cold
 	if len(g.slots) == 0 {
-		g.charter.Machine.Cold = cold
 		g.module = logic.New(at, g.charter, (*actions[T])(g))
+	} else {
+		g.module.Boot(g.clock(now), at, cold)
 	}
+	return true
+}
+
+// Booted tells whether the machine is up.
+func (g *Gate[T]) Booted() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.booted
 }
 
 func (g *Gate[T]) clock(now float64) float64 {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -325,16 +325,36 @@
 	//  1.10 late: pushed back
 }
 
-// The kernel says when it came up: a module that has read nothing starts then, one that has goes on.
+// The kernel says when it came up: a module that has read nothing starts then; one that has goes on, and knows from then on
+// that the machine is cold. Only the first word counts: a link that is made anew tells the same again.
 func Example_boot() {
 	s := open(2, 1000)
-	s.Boot(99, true)
+	fmt.Println("booted", s.Booted(), "credit", s.Credit())
+	s.Boot(s.now, 99, true)
 	s.arrive("a", read, "")
-	s.Boot(100, true)
+	s.Boot(s.now, 100, true)
 	s.report("a", rpc.OK, "1")
+	fmt.Println("booted", s.Booted(), "credit", s.Credit())
+
+	early := openTold(2, 1000, func(c *rpc.Charter) { c.Rules.ColdAt, c.Rules.WarmIn, c.Machine.Cores = 0.25, 100, 8 })
+	early.arrive("b", read, "")
+	fmt.Println("credit", early.Credit())
+	early.Boot(early.now, 99.9, true)
+	fmt.Println("credit", early.Credit())
+	early.Boot(early.now, 0, false)
+	early.pass(1)
+	early.report("b", rpc.OK, "1")
+	fmt.Println("credit", early.Credit())
 	// Output:
+	// booted false credit 2
 	//  0.00 a: run
 	//  0.00 a: ok "1"
+	// booted true credit 2
+	//  0.00 b: run
+	// credit 8
+	// credit 5
+	//  1.00 b: ok "1"
+	// credit 12
 }
 
 // A window shorter than a run: its repeats wait for the outcome, also those past the window and those that follow for
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,6 +99,15 @@
 	return m
 }
 
+// Boot takes note of when the machine came up and whether cold, where RPCs came before that was known: what it can bear is
+// less than was said until now.
+func (m *Module) Boot(now, at float64, cold bool) {
+	m.now, m.started, m.Machine.Cold = now, at, cold
+	m.limit = min(m.limit, m.survivable())
+	m.pool = min(m.pool, m.limit*float64(max(m.Machine.Callers, 1))*m.warmth())
+	m.publish()
+}
+
 // Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; due
 // is 0 where they do not tell how long they wait; repeats is the RPC that this repeats, rpc.None or rpc.Gone.
 func (m *Module) Arrive(now float64, i, method, from int, lay float64, further bool, due, kb float64,
--- a/server/conn.go
+++ b/server/conn.go
@@ -61,14 +61,16 @@
 	owing   int64     // bytes of results that wait to be written, or are being written
 	ended   bool      // nobody is there any more
 	mute    bool      // the writer has ended
-	shut    bool      // closed as idle: nothing more is taken in
+	phase   phase     // changed by move alone
+	partial bool      // the router is in the middle of a message
 	known   bool      // a whole message has come
 	used    time.Time // last frame either way
-	drained time.Time // when the router was asked to leave, zero before
+	askedAt time.Time // when the router was asked to leave, zero before
 	wake    chan struct{}
-	taken   chan struct{} // holds one when the writer has taken up what waited, or has ended
-	gone    chan struct{} // closed when shutIdle has given the descriptor back
+	taken   chan struct{} // holds one when the writer has taken up what waited, or nothing more is taken in
+	gone    chan struct{} // closed when endNow has given the descriptor back
 	last    int32         // number of the last RPC; the reader's own
+	fault   error         // what ends the connection; the reader's own
 	odd     atomic.Int32  // RPCs that could not be run
 }
 
@@ -86,74 +88,58 @@
 	live, end := context.WithCancel(ctx)
 	context.AfterFunc(live, func() { c.Close() })
 	c.group.Go(func() error {
-		defer end()
-		c.contain(func() error { return c.write(live) })
+		if err := c.stopPanic(func() error { return c.write(live) }); err != nil {
+			c.door.Warn("connection cut off", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
+			end()
+		}
 		return nil
 	})
 	c.group.Go(func() error {
 		defer c.over()
 		defer end()
-		c.contain(c.read)
+		if err := c.stopPanic(c.read); err != nil {
+			c.fail(err)
+		}
+		c.readOn()
 		return nil
 	})
 }
 
-// rested tells since when the connection has been idle, if it is, and whether a whole message ever came.
-func (c *conn) rested() (since time.Time, idle, known bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.used, c.rests(), c.known
-}
-
-// rests is called under the lock.
-func (c *conn) rests() bool {
-	return len(c.open) == 0 && len(c.replies) == 0 && !c.reading && !c.writing
+// quiet is what there is to know of a connection on which nothing is going on.
+type quiet struct {
+	*conn
+	since time.Time
+	part  bool // of a message has come
+	known bool // a whole message ever came
+	shut  bool // it has been ended, and is read on
+	asked time.Duration
 }
 
-// asked is for how long the router has known that it should close.
-func (c *conn) asked() time.Duration {
+// rested tells what there is to know of the connection, if it is idle.
+func (c *conn) rested() (q quiet, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.drained.IsZero() {
-		return 0
+	q = quiet{conn: c, since: c.used, part: c.partial, known: c.known, shut: c.phase == shut}
+	if !c.askedAt.IsZero() {
+		q.asked = time.Since(c.askedAt)
 	}
-	return time.Since(c.drained)
+	return q, c.rests()
 }
 
-// shutIdle closes the connection unless something has just come. What is not taken in any more the router sends
-// again, on a new connection; what is taken in must be answered here.
-func (c *conn) shutIdle() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.rests() && !c.shut {
-		c.shut = true
-		go func() { // it may wait for whoever uses the descriptor, and locks are held that accepting needs
-			c.Close()
-			close(c.gone)
-		}()
-	}
-	return c.shut
+// rests is called under the lock.
+func (c *conn) rests() bool {
+	return len(c.open) == 0 && len(c.replies) == 0 && !c.reading && !c.writing
 }
 
 // drain asks the router to send nothing more here and to close. An RPC that crosses this is answered as any
 // other.
 func (c *conn) drain() {
 	c.mu.Lock()
-	first := c.drained.IsZero()
-	if first {
-		c.drained = time.Now()
-	}
-	c.mu.Unlock()
-	if first {
-		c.say(func(out []byte, _ float64) []byte { return thrift.Draining(out) })
-	}
-}
-
-// contain runs one side of the connection; its error or a panic ends the connection, and nothing else.
-func (c *conn) contain(side func() error) {
-	if err := c.stopPanic(side); err != nil {
-		c.door.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
-		c.Close()
+	defer c.mu.Unlock()
+	if c.phase == serving {
+		c.move(leaving)
+		c.askedAt = time.Now()
+		c.queue(func(out []byte, _ float64) []byte { return thrift.Draining(out) })
 	}
 }
 
@@ -164,10 +150,7 @@
 	c.open, c.ended = nil, true
 	c.press.owed.Add(-c.owing)
 	c.mu.Unlock()
-	for _, k := range open {
-		c.held.Add(-k.size())
-		c.gate.Gone(clock(), k.id)
-	}
+	c.giveUp(open)
 	c.Close() // before its place is free
 	c.Server.mu.Lock()
 	delete(c.conns, c)
@@ -178,8 +161,8 @@
 // read takes frames until the connection ends; the end of the connection is no error.
 func (c *conn) read() error {
 	in := inlet.New(thrift.MaxFrame + 4)
-	c.SetReadDeadline(time.Now().Add(whole)) // silence from the start is half a message too
-	turn := 0                                // RPCs since others last had theirs
+	c.readBy(whole) // silence from the start is half a message too
+	turn := 0       // RPCs since others last had theirs
 	for timed := true; ; {
 		frame, size, err := thrift.Frame(in.Bytes())
 		if err != nil {
@@ -190,33 +173,36 @@
 			if done, all := c.passOver(in); done {
 				if all {
 					timed = false
-					c.SetReadDeadline(time.Time{})
+					c.readBy(0)
 				}
 				continue
 			}
 			if !timed && len(in.Bytes()) > 0 {
 				timed = true
-				c.SetReadDeadline(time.Now().Add(whole))
+				c.readBy(whole)
 			}
+			c.inPart(len(in.Bytes()) > 0)
 			switch err := in.Fill(c); {
 			case err == nil:
 			case errors.Is(err, inlet.ErrFull):
 				return err
 			case !errors.Is(err, os.ErrDeadlineExceeded):
 				return nil
-			case c.shutIdle():
+			case c.ends():
+				return nil
+			case c.endAtRest():
 				return errors.New("half a message, or none")
 			default: // what has been read is answered first
-				c.SetReadDeadline(time.Now().Add(whole / 10))
+				c.readBy(whole / 10)
 			}
 			continue
 		}
 		if timed {
 			timed = false
-			c.SetReadDeadline(time.Time{})
+			c.readBy(0)
 		}
-		shut, full := c.takeIn()
-		if shut {
+		ends, full := c.takeIn()
+		if ends {
 			return nil
 		}
 		if c.odd.Load() >= mostOdd {
@@ -225,7 +211,7 @@
 		if full {
 			return errors.New("more open RPCs than a connection may carry")
 		}
-		if err := thrift.Decode(frame, c); err != nil {
+		if err := errors.Join(thrift.Decode(frame, c), c.fault); err != nil {
 			return err
 		}
 		in.Take(size)
@@ -239,19 +225,43 @@
 	}
 }
 
+// readBy bounds how long the next bytes may take, 0 for as long as it likes. Once the connection ends, move has set the
+// bound, and the reader's own come too late.
+func (c *conn) readBy(within time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.phase >= ending:
+	case within > 0:
+		c.SetReadDeadline(time.Now().Add(within))
+	default:
+		c.SetReadDeadline(time.Time{})
+	}
+}
+
+// inPart takes note whether a part of a message lies in the buffer.
+func (c *conn) inPart(part bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.partial = part
+}
+
 // takeIn marks that a frame is being taken in. While too many answers wait to be written it waits for the writer first:
 // under overload callers give up and ask anew faster than it comes to its turn, and a connection that is closed for that
 // would lose what is open on it.
-func (c *conn) takeIn() (shut, full bool) {
+func (c *conn) takeIn() (ends, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for !c.shut && !c.mute && len(c.open) < mostOpen && len(c.open)+len(c.replies) >= mostOpen {
+	for c.phase < ending && !c.mute && len(c.open) < mostOpen && len(c.open)+len(c.replies) >= mostOpen {
 		c.mu.Unlock()
 		<-c.taken
 		c.mu.Lock()
 	}
+	if c.phase >= ending {
+		return true, false
+	}
 	c.used, c.reading, c.known = time.Now(), true, true
-	return c.shut, len(c.open) >= mostOpen
+	return false, len(c.open) >= mostOpen
 }
 
 // Execute takes in one RPC.
@@ -331,7 +341,7 @@
 		return false, false // read it then, and let it end as it would
 	}
 	c.mu.Lock()
-	busy := c.shut || len(c.open)+len(c.replies) >= mostOpen
+	busy := c.phase >= ending || len(c.open)+len(c.replies) >= mostOpen
 	if !busy {
 		c.reading, c.used, c.known = true, time.Now(), true
 	}
@@ -346,7 +356,7 @@
 	}
 	c.press.came(method, 0)
 	c.last = k.Seq
-	c.SetReadDeadline(time.Now().Add(whole))
+	c.readBy(whole)
 	for rest := size; ; {
 		n := min(rest, len(in.Bytes()))
 		in.Take(n)
@@ -362,6 +372,11 @@
 // offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
 const offClock = 3600.0
 
+// usedTwice is a number that two RPCs of one connection came under.
+type usedTwice struct{ seq int32 }
+
+func (e *usedTwice) Error() string { return "sequence number used before" }
+
 // out ends a connection whose RPCs' numbers do not rise: to answer one of two with the same number would be to
 // answer both.
 func (c *conn) out(seq int32) bool {
@@ -369,8 +384,7 @@
 		c.last = seq
 		return false
 	}
-	c.door.Warn("sequence number used before", zap.Stringer("router", c.RemoteAddr()))
-	c.Close()
+	c.fault = &usedTwice{seq}
 	return true
 }
 
@@ -392,10 +406,10 @@
 	c.mu.Lock()
 	k := c.open[target]
 	delete(c.open, target)
+	c.settle()
 	c.mu.Unlock()
 	if k != nil {
-		c.held.Add(-k.size())
-		c.gate.Gone(clock(), k.id)
+		c.giveUp(map[int32]*call{target: k})
 	}
 }
 
@@ -418,6 +432,9 @@
 
 // queue is called under the lock, so that a connection with an answer to write never looks idle.
 func (c *conn) queue(r reply) {
+	if c.phase == shut {
+		return // nothing can be written any more
+	}
 	c.replies = append(c.replies, r)
 	signal(c.wake)
 }
@@ -427,6 +444,7 @@
 	defer func() {
 		c.mu.Lock()
 		c.mute = true
+		c.settle()
 		c.mu.Unlock()
 		signal(c.taken)
 	}()
@@ -449,7 +467,7 @@
 			for out = out[:0]; len(rest) > 0 && len(out) < writeSize; rest = rest[1:] {
 				out = rest[0](out, load)
 			}
-			c.SetWriteDeadline(time.Now().Add(stuck))
+			c.writeBy()
 			if _, err := c.Write(out); errors.Is(err, os.ErrDeadlineExceeded) {
 				return errors.New("the router does not read its answers")
 			} else if err != nil { // it has left
@@ -464,6 +482,7 @@
 			c.owing -= owing
 			c.press.owed.Add(-owing)
 		}
+		c.settle()
 		c.mu.Unlock()
 	}
 }
--- a/server/listen.go
+++ b/server/listen.go
@@ -4,8 +4,11 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -27,40 +30,88 @@
 	socketBuffer = 64 << 10
 )
 
-// accept takes connections up to what the descriptors allow, and never waits with one in hand: behind it there
-// may be hundreds that say nothing, and then one of a usual router.
+// accept takes connections up to what the descriptors allow until the last call, which is the listener's deadline, and then
+// closes the listener.
 func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
+	defer listener.Close()
 	for {
 		nc, err := listener.AcceptTCP()
 		switch {
-		case errors.Is(err, net.ErrClosed) || ctx.Err() != nil:
+		case err == nil:
+			s.admit(ctx, nc)
+		case ctx.Err() != nil:
 			return nil
-		case err != nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			s.admitQueued(ctx, listener)
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return fmt.Errorf("accept: %w", err) // nobody would ever come in again: no app server that looks well
+		default:
 			s.door.Warn("accept", zap.Error(err))
 			if !sleep(ctx, 0.01) {
 				return nil
 			}
-			continue
-		}
-		if !s.press.effects.Load().Accept {
-			s.door.Warn("connection turned away under pressure", zap.Stringer("router", nc.RemoteAddr()))
-			nc.Close()
-			continue
 		}
-		if !s.room() {
-			s.door.Warn("connection turned away, all others are at work", zap.Stringer("router", nc.RemoteAddr()))
-			nc.Close() // nothing has been read, so nothing is owed
-			continue
+	}
+}
+
+// admit takes one connection in, or turns it away at once: behind it there may be hundreds that say nothing, and then
+// one of a usual router.
+func (s *Server) admit(ctx context.Context, nc net.Conn) {
+	why := ""
+	switch {
+	case !s.press.effects.Load().Accept:
+		why = "connection turned away under pressure"
+	case !s.room():
+		why = "connection turned away, all others are at work"
+	}
+	if why != "" {
+		s.door.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
+		nc.Close() // nothing has been read, so nothing is owed
+		return
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		tcp.SetReadBuffer(socketBuffer)
+		tcp.SetWriteBuffer(socketBuffer)
+	}
+	c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, used: time.Now(), wake: make(chan struct{}, 1),
+		taken: make(chan struct{}, 1), gone: make(chan struct{})}
+	s.mu.Lock()
+	s.conns[c] = struct{}{}
+	s.mu.Unlock()
+	c.serve(ctx)
+}
+
+// admitQueued takes in what the machine has accepted for the listener and nobody has fetched yet. Guards against a close
+// over it: the system would reset those connections, with RPCs on them that count as read. None is waited for, so that what
+// remains is the instant between the last look and the close.
+func (s *Server) admitQueued(ctx context.Context, listener *net.TCPListener) {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return
+	}
+	for {
+		var nc net.Conn
+		err := syscall.EAGAIN
+		raw.Control(func(at uintptr) {
+			fd, _, e := syscall.Accept4(int(at), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC)
+			if e != nil {
+				errors.As(e, &err)
+				return
+			}
+			err = 0
+			file := os.NewFile(uintptr(fd), "router")
+			defer file.Close()
+			if nc, e = net.FileConn(file); e != nil {
+				s.door.Warn("accept", zap.Error(e))
+			}
+		})
+		switch {
+		case nc != nil:
+			s.admit(ctx, nc)
+		case err != 0 && err != syscall.EINTR && err != syscall.ECONNABORTED:
+			return
 		}
-		nc.SetReadBuffer(socketBuffer)
-		nc.SetWriteBuffer(socketBuffer)
-		now := time.Now()
-		c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, used: now, wake: make(chan struct{}, 1),
-			taken: make(chan struct{}, 1), gone: make(chan struct{})}
-		s.mu.Lock()
-		s.conns[c] = struct{}{}
-		s.mu.Unlock()
-		c.serve(ctx)
 	}
 }
 
@@ -88,23 +139,24 @@
 	}
 	now := time.Now()
 	for len(s.conns) > 0 {
-		var silent, idlest *conn
-		var born, since time.Time
+		var ended, silent, idlest quiet
 		for c := range s.conns {
-			at, idle, known := c.rested()
+			q, idle := c.rested()
 			switch {
 			case !idle:
-			case !known && now.Sub(at) > fresh && (silent == nil || at.Before(born)):
-				silent, born = c, at
-			case known && (idlest == nil || at.Before(since)):
-				idlest, since = c, at
+			case q.shut:
+				ended = q.earlier(ended)
+			case !q.known && now.Sub(q.since) > fresh:
+				silent = q.earlier(silent)
+			case q.known && !q.part:
+				idlest = q.earlier(idlest)
 			}
 		}
-		out := cmp.Or(silent, idlest)
+		out := cmp.Or(ended.conn, silent.conn, idlest.conn)
 		if out == nil {
 			return nil, false
 		}
-		if out.shutIdle() {
+		if out.endNow() {
 			delete(s.conns, out)
 			return out, true
 		}
@@ -112,30 +164,33 @@
 	return nil, false
 }
 
-// tidy closes what has been idle for as long as the module says, and asks those idle longest to go before the
-// descriptors run out.
+// earlier gives the one of two that has been quiet for longer; none is nobody.
+func (q quiet) earlier(than quiet) quiet {
+	if than.conn == nil || q.since.Before(than.since) {
+		return q
+	}
+	return than
+}
+
+// tidy ends what has been idle for as long as the module says, and asks those idle longest to go before the descriptors run
+// out. A router that is in the middle of a message is neither: the reader has a bound for that.
 func (s *Server) tidy() {
 	after := s.gate.Idle()
-	type quiet struct {
-		*conn
-		since time.Time
-	}
 	var idle []quiet
 	room := asideOnce
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
-		at, free, known := c.rested()
-		switch asked := c.asked(); {
-		case !free || !known:
-		case asked > leaveTime:
-			c.shutIdle()
-		case asked > 0:
+		switch q, free := c.rested(); {
+		case !free || !q.known || q.part || q.shut:
+		case q.asked > leaveTime:
+			c.endAtRest()
+		case q.asked > 0:
 			room--
-		case after > 0 && time.Since(at) > seconds(after):
+		case after > 0 && time.Since(q.since) > seconds(after):
 			c.drain()
 		default:
-			idle = append(idle, quiet{c, at})
+			idle = append(idle, q)
 		}
 	}
 	if len(s.conns) < (s.charter.Load().Sockets-s.reserved())*3/4 {
--- a/server/press.go
+++ b/server/press.go
@@ -258,8 +258,11 @@
 	}
 }
 
-// healthy is what is said to health checks and to the roster.
-func (s *Server) healthy() bool { return s.gate.Healthy() && s.press.effects.Load().Health }
+// healthy is what is said to health checks and to the roster. Before the kernel is up nothing can be served, and it is
+// not known how little at first.
+func (s *Server) healthy() bool {
+	return s.gate.Booted() && s.gate.Healthy() && s.press.effects.Load().Health
+}
 
 // credit is what goes out with every answer: the module's, less what the process itself cannot bear. Below 0 there is
 // none.
--- a/server/server.go
+++ b/server/server.go
@@ -46,10 +46,12 @@
 	lender    atomic.Pointer[fleet.Lender] // of permits under common limits; nil where there are none
 	warmAt    atomic.Int64                 // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
 
+	life  atomic.Int32 // see enter
 	held  atomic.Int64 // bytes of RPCs whose answer is owed, about
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	left  chan struct{} // holds one after a connection has ended
+	up    chan struct{} // closed once the kernel is up
 	said  chan struct{} // holds one when the roster is to hear at once
 	well  chan struct{} // holds one when health may have changed by the process's own doing
 }
@@ -73,7 +75,7 @@
 	s := &Server{log: log, door: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
-		left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
+		up: make(chan struct{}), left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
 		press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
 	s.charter.Store(c)
 	s.read = c
@@ -125,7 +127,11 @@
 	defer end()
 	var all context.Context
 	s.group, all = errgroup.WithContext(live)
-	s.group.Go(func() error { return s.accept(all, listener) })
+	closed := make(chan struct{}) // when the listener is
+	s.group.Go(func() error {
+		defer close(closed)
+		return s.accept(all, listener)
+	})
 	if member != nil {
 		s.group.Go(func() error { return s.takePart(ctx, all, member, offices) })
 	}
@@ -135,6 +141,11 @@
 	s.group.Go(func() error { return s.watch(all) })
 	s.group.Go(func() error { return s.watchSelf(all) })
 	s.group.Go(func() error {
+		select { // before it can answer anything it is not to be found
+		case <-all.Done():
+			return nil
+		case <-s.up:
+		}
 		return roster.Report(all, func() (netip.AddrPort, string, bool) {
 			c := s.charter.Load()
 			return c.Roster, c.Name, s.healthy()
@@ -142,7 +153,7 @@
 	})
 	s.group.Go(func() error {
 		defer end()
-		return s.leave(ctx, all, listener)
+		return s.leave(ctx, all, listener, closed)
 	})
 	s.log.Info("serving", zap.Stringer("listen", listener.Addr()))
 	err = s.group.Wait()
@@ -153,42 +164,78 @@
 	return err
 }
 
-// What is left of the time before the kill once no router is to send any more, and once the process ends
-// whatever is still open: a connection is given up by its router within some tens of milliseconds.
-const lastCall, lastExit = 0.4, 0.15
+// life is how far the app server has come on its way out. It only goes on, and only enter changes it.
+type life int32
+
+const (
+	living   life = iota
+	noticed       // late routers are still answered
+	lastCall      // nobody new is let in, routers are asked to go
+	goodbye       // their connections are ended
+	over
+)
+
+func (l life) String() string {
+	return [...]string{"living", "noticed", "last call", "goodbye", "over"}[l]
+}
+
+func (s *Server) enter(to life) {
+	s.life.Store(int32(to))
+	s.log.Info("leaving", zap.Stringer("stage", to))
+}
 
-// leave waits for the notice and then sees the process out.
-func (s *Server) leave(ctx, all context.Context, listener net.Listener) error {
+// What is left of the time before the kill once nobody new is let in; once connections are ended, of which a router has
+// heard a tenth of a second before; and once the process ends whatever is still open: a connection is given up by its router
+// within some tens of milliseconds.
+const beforeLastCall, beforeGoodbye, beforeExit = 0.4, 0.3, 0.08
+
+// leave waits for the notice and then sees the process out. The others go on until it returns: what is read by then is
+// answered.
+func (s *Server) leave(ctx, all context.Context, listener *net.TCPListener, closed <-chan struct{}) error {
+	defer listener.Close()
 	select {
 	case <-all.Done():
-		listener.Close()
 		return nil
 	case <-ctx.Done():
 	}
 	stop := clock() + s.charter.Load().Stop
+	s.enter(noticed)
 	s.gate.Leave(clock(), stop)
-	// Until then late routers are answered rather than cut off.
-	if !sleep(all, stop-lastCall-clock()) {
-		listener.Close()
+	if !sleep(all, stop-beforeLastCall-clock()) {
 		return nil
 	}
-	listener.Close()
+	listener.SetDeadline(time.Unix(1, 0))
+	s.enter(lastCall)
+	select {
+	case <-all.Done():
+		return nil
+	case <-closed: // all that were let in are among the connections
+	}
 	for {
+		if clock() > stop-beforeGoodbye && s.life.Load() == int32(lastCall) {
+			s.enter(goodbye)
+		}
 		s.mu.Lock()
 		for c := range s.conns {
-			c.drain()
+			if s.life.Load() == int32(goodbye) {
+				c.end()
+			} else {
+				c.drain()
+			}
 		}
 		n := len(s.conns)
 		s.mu.Unlock()
-		if n == 0 {
-			return nil
-		}
-		if clock() > stop-lastExit {
+		if n > 0 && clock() > stop-beforeExit {
 			s.log.Warn("connections cut off", zap.Int("connections", n))
+			n = 0
+		}
+		if n == 0 {
+			s.enter(over)
 			return nil
 		}
 		select {
 		case <-all.Done():
+			return nil
 		case <-s.left:
 		case <-time.After(seconds(0.02)):
 		}
@@ -274,7 +321,7 @@
 func (s *Server) watch(ctx context.Context) error {
 	tidy := time.NewTicker(tidyEvery)
 	defer tidy.Stop()
-	healthy := true
+	healthy := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -314,7 +361,10 @@
 		warm += s.charter.Load().Rules.Rules.WarmIn
 	}
 	s.warmAt.Store(int64(warm * 1e9))
-	s.gate.Boot(clock()-ago, cold)
+	if s.gate.Boot(clock(), clock()-ago, cold) {
+		close(s.up)
+		signal(s.well)
+	}
 }
 
 // Ended is the kernel's word on a run.
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -29,6 +29,7 @@
 // town is one app server between stand-ins for its kernel, its roster and its routers.
 type town struct {
 	at      string
+	door    net.Listener // where routers connect
 	cores   net.Listener // where the kernel is
 	kernel  net.Conn
 	runs    chan string // what the kernel was asked, gauges aside
@@ -38,18 +39,29 @@
 	before  int // goroutines
 	notices int
 	charter *charter.Charter
+	cold    bool // the kernel comes up cold
 	*Server
 }
 
 func open(change func(c *charter.Charter)) *town { return openLogged(change, zap.NewNop()) }
 
 func openLogged(change func(c *charter.Charter), log *zap.Logger) *town {
+	t := openHeldLogged(change, log)
+	t.link()
+	until("kernel up", t.gate.Booted)
+	return t
+}
+
+// openHeld opens a town whose kernel is not up before link.
+func openHeld(change func(c *charter.Charter)) *town { return openHeldLogged(change, zap.NewNop()) }
+
+func openHeldLogged(change func(c *charter.Charter), log *zap.Logger) *town {
 	t := &town{runs: make(chan string, 100), reports: make(chan string, 100), served: make(chan error, 1),
 		before: runtime.NumGoroutine()}
 	t.cores = must(net.Listen("tcp", "127.0.0.1:0"))
 	roster := t.roster()
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
-	t.at = listener.Addr().String()
+	t.door, t.at = listener, listener.Addr().String()
 	c := &charter.Charter{Name: "n1", Kernel: netip.MustParseAddrPort(t.cores.Addr().String()), Stop: 1.2,
 		Roster: netip.MustParseAddrPort(roster.LocalAddr().String()), Memory: 64 << 20, Sockets: 64,
 		Methods: []string{"look", "record"}}
@@ -71,7 +83,6 @@
 		t.served <- t.ServeOn(ctx, listener.(*net.TCPListener))
 		roster.Close()
 	}()
-	t.link()
 	return t
 }
 
@@ -122,7 +133,8 @@
 		json.Unmarshal([]byte(line), &m)
 		switch m.Action {
 		case "OPEN":
-			fmt.Fprintln(link, `{"action":"BOOTED","code":"running","wall_ms":10}`)
+			code := map[bool]string{false: "running", true: "starting"}[t.cold]
+			fmt.Fprintf(link, `{"action":"BOOTED","code":"%s","wall_ms":10}`+"\n", code)
 		case "SYSINFO":
 			fmt.Fprintf(link, `{"action":"INFO","echo":"%s","meters":[]}`+"\n", m.Echo)
 		default:
@@ -536,6 +548,9 @@
 	return nil
 }
 
+func (w waits) SetReadDeadline(time.Time) error  { return nil }
+func (w waits) SetWriteDeadline(time.Time) error { return nil }
+
 // Making room never waits for the one that goes: else one close would keep all newcomers out.
 func Example_room() {
 	t := open(func(c *charter.Charter) { c.Sockets = reserve + 1 })
