Before its kernel is up the app server tells the credit of a cold machine, not of a warm one

Seen, by review and forced by a test: a health check answered before BOOTED carried the full credit (8 of 8 cores; a cold one of the test bears 2), and callers go by what an answer says from that answer on. Ruled out: the roster, which hears nothing before; the module after Boot, which is right at once. At fault: gate.New, whose module was that of a warm machine until Boot. Boot in the module took the lesser of what was believed and what is so, so that a guess could not have been put right upwards. Now the machine counts as cold as it may be until the kernel's first word; that word replaces what was believed. Without the change Example_early and Example_boot print credit 8.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"hash/maphash"
+	"math"
 	"sync"
 
 	"valveglade/logic"
@@ -170,11 +171,14 @@
 	g := &Gate[T]{charter: c, now: now, callers: map[int]int{}, uids: map[string]struct{}{}, seed: maphash.MakeSeed(), tokens: newTable(keep), credit: -1,
 		reap: c.Machine.KeepAlive, ready: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
 	g.module = logic.New(now, c, (*actions[T])(g))
+	// A caller that asks for its credit now may go by it once the machine is up, and that may be cold.
+	g.module.Boot(now, math.Inf(1), true)
 	return g
 }
 
-// Boot tells when the machine came up, and whether cold; only the first word counts, and is told to be the first. Mostly nothing has been read before;
-// if it has, the module that read it learns it now, and would else send a cold machine as much as a warm one.
+// Boot tells when the machine came up, and whether cold. Only the first word counts, and Boot says whether this is it. Until
+// then the machine counts as cold as it may be. Mostly nothing has been read before; if it has, the module that read it goes
+// on.
 func (g *Gate[T]) Boot(now, at float64, cold bool) (first bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -351,7 +351,7 @@
 	//  0.00 a: ok "1"
 	// booted true credit 2
 	//  0.00 b: run
-	// credit 8
+	// credit 2
 	// credit 5
 	//  1.00 b: ok "1"
 	// credit 12
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -99,12 +99,12 @@
 	return m
 }
 
-// Boot takes note of when the machine came up and whether cold, where RPCs came before that was known: what it can bear is
-// less than was said until now.
+// Boot takes note of when the machine came up, +Inf while it has not, and whether cold. What was believed before of what it
+// can bear does not count any more.
 func (m *Module) Boot(now, at float64, cold bool) {
 	m.now, m.started, m.Machine.Cold = now, at, cold
-	m.limit = min(m.limit, m.survivable())
-	m.pool = min(m.pool, m.limit*float64(max(m.Machine.Callers, 1))*m.warmth())
+	m.limit = min(m.cores(), m.survivable())
+	m.pool = m.limit * float64(max(m.Machine.Callers, 1)) * m.warmth()
 	m.publish()
 }
 
--- a/logic/running.go
+++ b/logic/running.go
@@ -9,7 +9,7 @@
 	if !m.Machine.Cold || m.Rules.WarmIn <= 0 {
 		return 1
 	}
-	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*(m.now-m.started)/m.Rules.WarmIn)
+	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*max(m.now-m.started, 0)/m.Rules.WarmIn)
 }
 
 // survivable is how many started RPCs the cores can have at once without harm, fewer while cold. A tenth is
--- a/server/end_test.go
+++ b/server/end_test.go
@@ -373,7 +373,7 @@
 	t.close()
 	// Output:
 	// router: 1 ok "" good 0
-	// credit: 8 reports: 0
+	// credit: 2 reports: 0
 	// kernel: SCHED 2 look body 2
 	// roster: HERE n1 on
 	// credit: 3
