Look for what lies unread before a connection is shut; a closing connection has a phase of its own

Seen, each forced by a test on real sockets in both orders: a connection at rest was shut while an RPC lay unread in the system's buffer, or read and not yet taken in. The router sends again what crosses the shutdown within 50 ms; this process is off its core for longer at times, and then the RPC was lost without an answer (Example_endCrossed, evictCrossed, fullCrossed, exitCrossed, endHalf: each has no answer with the last look taken out). A newcomer that was turned away with its RPC unread heard a reset. Ruled out: a request read after the shutdown being sent on; Go's own buffering, there is none. At fault: conn.endAtRest, endNow and end, which went by what had been taken in; Server.admit's Close; a read deadline that had passed while bytes had come. Now 'closing' stands before 'ending': the reader alone shuts a resting connection, after a look without waiting has found nothing, and half a message has 50 ms for its rest. Whoever sends on past the goodbye is cut short 0.2 s before the stop. Room for a newcomer does not wait for one that is still answered. What is closed is read empty first. An RPC that is passed over under pressure and does not come whole ends the connection, as its rest would have been read as messages.

Also, by the review of what ends a duty: a listener lost ended the process over what it owed; it leaves as on a notice now and ends with the error. A panic in dispatch ended the process; the one RPC is aborted. A reload with less memory left the bound of kept results as it was. Each test was seen to fail with its line taken out.

--- a/server/conn.go
+++ b/server/conn.go
@@ -63,12 +63,16 @@
 	mute    bool      // the writer has ended
 	phase   phase     // changed by move alone
 	partial bool      // the router is in the middle of a message
+	due     time.Time // when what has come of a message must be whole, zero for never
+	stirred bool      // the read deadline is not due, but wakes the reader
+	evicted bool      // its descriptor is wanted
 	known   bool      // a whole message has come
 	used    time.Time // last frame either way
 	askedAt time.Time // when the router was asked to leave, zero before
+	lastAt  time.Time // when it began to close
 	wake    chan struct{}
 	taken   chan struct{} // holds one when the writer has taken up what waited, or nothing more is taken in
-	gone    chan struct{} // closed when endNow has given the descriptor back
+	gone    chan struct{} // closed once the descriptor has been given back
 	last    int32         // number of the last RPC; the reader's own
 	fault   error         // what ends the connection; the reader's own
 	odd     atomic.Int32  // RPCs that could not be run
@@ -77,6 +81,7 @@
 const (
 	mostOpen  = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
 	mostOdd   = 8                       // RPCs that cannot be run, before whoever sends them has to connect again
+	early     = time.Millisecond        // a timer may be early by, as clocks are read one after another
 	stuck     = 10 * time.Second        // a router that does not read for so long has lost its answers
 	whole     = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
 	writeSize = 16 << 10                // answers gathered for one write
@@ -112,6 +117,7 @@
 	part  bool // of a message has come
 	known bool // a whole message ever came
 	shut  bool // it has been ended, and is read on
+	going bool // its descriptor is to come back already
 	asked time.Duration
 }
 
@@ -119,7 +125,7 @@
 func (c *conn) rested() (q quiet, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	q = quiet{conn: c, since: c.used, part: c.partial, known: c.known, shut: c.phase == shut}
+	q = quiet{conn: c, since: c.used, part: c.partial, known: c.known, shut: c.phase == shut, going: c.evicted}
 	if !c.askedAt.IsZero() {
 		q.asked = time.Since(c.askedAt)
 	}
@@ -151,10 +157,12 @@
 	c.press.owed.Add(-c.owing)
 	c.mu.Unlock()
 	c.giveUp(open)
+	discard(c.Conn)
 	c.Close() // before its place is free
 	c.Server.mu.Lock()
 	delete(c.conns, c)
 	c.Server.mu.Unlock()
+	close(c.gone)
 	signal(c.left)
 }
 
@@ -163,6 +171,7 @@
 	in := inlet.New(thrift.MaxFrame + 4)
 	c.readBy(whole) // silence from the start is half a message too
 	turn := 0       // RPCs since others last had theirs
+	late := false   // what has come of a message was not whole in time
 	for timed := true; ; {
 		frame, size, err := thrift.Frame(in.Bytes())
 		if err != nil {
@@ -170,11 +179,11 @@
 		}
 		if size == 0 {
 			turn = 0
-			if done, all := c.passOver(in); done {
-				if all {
-					timed = false
-					c.readBy(0)
-				}
+			if done, err := c.passOver(in); err != nil {
+				return err
+			} else if done {
+				timed = false
+				c.readBy(0)
 				continue
 			}
 			if !timed && len(in.Bytes()) > 0 {
@@ -182,18 +191,16 @@
 				c.readBy(whole)
 			}
 			c.inPart(len(in.Bytes()) > 0)
-			switch err := in.Fill(c); {
+			switch err := c.fill(in); {
 			case err == nil:
 			case errors.Is(err, inlet.ErrFull):
 				return err
-			case !errors.Is(err, os.ErrDeadlineExceeded):
-				return nil
-			case c.ends():
+			case errors.Is(err, errShut) && late:
+				return errHalf
+			case !errors.Is(err, os.ErrDeadlineExceeded) || c.ends():
 				return nil
-			case c.endAtRest():
-				return errors.New("half a message, or none")
-			default: // what has been read is answered first
-				c.readBy(whole / 10)
+			default:
+				late = c.overdue()
 			}
 			continue
 		}
@@ -201,6 +208,7 @@
 			timed = false
 			c.readBy(0)
 		}
+		late = false
 		ends, full := c.takeIn()
 		if ends {
 			return nil
@@ -225,18 +233,38 @@
 	}
 }
 
-// readBy bounds how long the next bytes may take, 0 for as long as it likes. Once the connection ends, move has set the
-// bound, and the reader's own come too late.
+var errHalf = errors.New("half a message, or none")
+
+// readBy bounds how long the next bytes may take, 0 for as long as it likes. Once nothing more is taken in, move has set
+// the bound, and the reader's own come too late.
 func (c *conn) readBy(within time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	switch {
-	case c.phase >= ending:
-	case within > 0:
-		c.SetReadDeadline(time.Now().Add(within))
-	default:
-		c.SetReadDeadline(time.Time{})
+	c.due = time.Time{}
+	if within > 0 {
+		c.due = time.Now().Add(within)
+	}
+	if c.phase < ending {
+		c.stirred = false
+		c.SetReadDeadline(c.due)
+	}
+}
+
+// overdue tells whether a message should have been whole by now. Then the connection closes; what has been read is answered
+// first.
+func (c *conn) overdue() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.due.IsZero() || time.Until(c.due) > early {
+		return false // only woken
+	}
+	if c.rests() {
+		c.move(closing)
+	} else {
+		c.due = time.Now().Add(whole / 10)
+		c.stirred = true
 	}
+	return true
 }
 
 // inPart takes note whether a part of a message lies in the buffer.
@@ -329,16 +357,16 @@
 }
 
 // passOver refuses an RPC that is not all there, if it is larger than what is read now, and throws away what comes of it.
-// It tells whether it did, and whether all of it has come.
-func (c *conn) passOver(in *inlet.Buffer) (done, all bool) {
+// It tells whether it did. Behind an RPC that did not come whole nothing can be read any more.
+func (c *conn) passOver(in *inlet.Buffer) (done bool, err error) {
 	size := thrift.Length(in.Bytes())
 	if size <= c.press.effects.Load().Largest || size > thrift.MaxFrame {
-		return false, false
+		return false, nil
 	}
 	k, there := thrift.Peek(in.Bytes()[4:])
 	method, known := c.methods[string(k.Method)]
 	if !there || !known || c.tokened(method) && len(k.Token) == 0 || k.Seq <= c.last {
-		return false, false // read it then, and let it end as it would
+		return false, nil // read it then, and let it end as it would
 	}
 	c.mu.Lock()
 	busy := c.phase >= ending || len(c.open)+len(c.replies) >= mostOpen
@@ -352,7 +380,7 @@
 		c.mu.Unlock()
 	}()
 	if busy || !c.turnsAway(k.Seq, method, k.Token, k.Recv, size) {
-		return false, false
+		return false, nil
 	}
 	c.press.came(method, 0)
 	c.last = k.Seq
@@ -361,10 +389,10 @@
 		n := min(rest, len(in.Bytes()))
 		in.Take(n)
 		if rest -= n; rest == 0 {
-			return true, true
+			return true, nil
 		}
-		if in.Fill(c) != nil {
-			return true, false // the reader meets it again
+		if err := in.Fill(c); err != nil {
+			return true, errHalf
 		}
 	}
 }
--- a/server/end.go
+++ b/server/end.go
@@ -2,11 +2,15 @@
 
 import (
 	"errors"
+	"io"
+	"net"
+	"os"
 	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"valveglade/internal/inlet"
 	"valveglade/internal/thrift"
 )
 
@@ -16,6 +20,7 @@
 const (
 	serving phase = iota // what comes is taken in
 	leaving              // the router has been asked to send nothing more; what comes all the same is taken in
+	closing              // it is shut as soon as nothing is owed on it and nothing lies unread
 	ending               // nothing more is taken in, what is owed is still written
 	shut                 // all has been written and our side is shut; what comes is read and thrown away
 )
@@ -29,8 +34,14 @@
 	// lingerSize is how much is read meanwhile: who sends more than a connection may carry at once has not crossed a
 	// shutdown, but sends without looking.
 	lingerSize = 64 << 10
+	// halfFor is how long a closing connection waits for the rest of a message: what a router has begun to write is there
+	// within some milliseconds, and what is whole only after the shutdown has crossed it and is sent again.
+	halfFor = 50 * time.Millisecond
 )
 
+// past is a deadline that wakes whoever reads.
+var past = time.Unix(1, 0)
+
 // move takes the connection on to a phase, and wakes whoever waits on it; called under the lock.
 func (c *conn) move(to phase) {
 	if to <= c.phase {
@@ -39,9 +50,11 @@
 	c.phase = to
 	now := time.Now()
 	switch to {
+	case closing:
+		c.lastAt = now
 	case ending:
 		signal(c.taken)
-		c.SetReadDeadline(now)
+		c.SetReadDeadline(past)
 		c.SetWriteDeadline(now.Add(linger)) // for who does not read its answers
 	case shut:
 		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -51,67 +64,142 @@
 	}
 }
 
-// settle shuts an ending connection once nothing more is to be written; called under the lock.
+// settle takes a connection that is on its way out on, once nothing more is to be written; called under the lock.
 func (c *conn) settle() {
-	if c.phase == ending && (c.mute || len(c.open) == 0 && len(c.replies) == 0 && !c.writing) {
+	switch {
+	case c.phase == closing && c.rests():
+		c.stirred = true
+		c.SetReadDeadline(past) // the reader alone knows what lies unread
+	case c.phase == ending && (c.mute || len(c.open) == 0 && len(c.replies) == 0 && !c.writing):
 		c.move(shut)
 	}
 }
 
-// end is the one way in which the app server ends a connection: nothing more is taken in, what is owed is written, our
-// side is shut, what crosses that is read and thrown away, and then the descriptor is given back.
-func (c *conn) end() {
+// end is the one way in which the app server ends a connection: what has come by then is taken in, what is owed is written,
+// our side is shut, what crosses that is read and thrown away, and then the descriptor is given back.
+func (c *conn) end() { c.endIn(closing) }
+
+// cutShort is end where the time is up: what lies unread is not taken in any more.
+func (c *conn) cutShort() { c.endIn(ending) }
+
+func (c *conn) endIn(p phase) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.move(ending)
+	c.move(p)
 	c.settle()
 }
 
-// endAtRest is end unless something has just come; it tells whether the connection ends. What is not taken in any more the
-// router sends again, on a new connection; what is taken in must be answered here.
-func (c *conn) endAtRest() bool {
+// evict is end for a resting connection whose descriptor is wanted: it is given back without waiting for what crosses. It
+// tells whether the connection rests. If something lies unread after all, that is answered first.
+func (c *conn) evict() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rests() {
-		c.move(ending)
-		c.settle()
+	if !c.rests() {
+		return false
 	}
-	return c.phase >= ending
+	c.evicted = true
+	c.move(closing)
+	c.settle()
+	if c.phase == shut {
+		c.SetReadDeadline(past)
+	}
+	return true
+}
+
+// errShut tells the reader that it has shut its connection.
+var errShut = errors.New("shut")
+
+// fill reads what comes next. A closing connection on which nothing is owed is shut here, once a last look has found
+// nothing unread. Guards against a shutdown over an RPC that has lain unread for long, as it does while this process is off
+// its core: its router sends again only what crosses within an instant.
+func (c *conn) fill(in *inlet.Buffer) error {
+	if !c.closes() {
+		return in.Fill(c)
+	}
+	if err := in.Fill(unread{c.Conn}); !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.move(shut)
+	return errShut
 }
 
-// endNow is endAtRest where the descriptor is wanted: it is given back at once, and only what has come by then is read.
-func (c *conn) endNow() bool {
-	if !c.endAtRest() {
+// closes tells whether the connection is shut now, if nothing lies unread; else it bounds the next read. Only the reader
+// makes a resting connection busy, so this holds until it has looked.
+func (c *conn) closes() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	by := c.due
+	switch {
+	case c.phase >= ending:
+		return false
+	case c.phase == closing && c.rests():
+		if half := c.lastAt.Add(c.half); by.IsZero() || half.Before(by) {
+			by = half
+		}
+		if !c.partial || c.evicted || time.Until(by) <= early {
+			return true
+		}
+	case !c.stirred:
 		return false
 	}
-	go func() { // a close may wait for whoever uses the descriptor, and locks are held that accepting needs
-		c.discard()
-		c.Close()
-		close(c.gone)
-	}()
-	return true
+	c.stirred = by != c.due
+	c.SetReadDeadline(by)
+	return false
 }
 
-// discard throws away what has come and lies unread, without waiting for more.
-func (c *conn) discard() {
-	open, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return
+// unread reads what has come on a connection, without waiting for more; os.ErrDeadlineExceeded if there is nothing.
+type unread struct{ net.Conn }
+
+func (u unread) Read(b []byte) (n int, err error) {
+	open, ok := u.Conn.(syscall.Conn)
+	if !ok { // none of the system's
+		u.SetReadDeadline(time.Now().Add(early))
+		return u.Conn.Read(b)
 	}
 	raw, err := open.SyscallConn()
 	if err != nil {
-		return
+		return 0, err
 	}
-	raw.Control(func(fd uintptr) {
-		buf := make([]byte, 4<<10)
-		for size := 0; size < lingerSize; {
-			n, err := syscall.Read(int(fd), buf)
-			if n <= 0 || err != nil {
-				return
-			}
-			size += n
+	var failed error
+	if err := raw.Control(func(fd uintptr) {
+		for failed = syscall.EINTR; failed == syscall.EINTR; {
+			n, failed = syscall.Read(int(fd), b)
 		}
-	})
+	}); err != nil {
+		return 0, err
+	}
+	switch {
+	case failed == syscall.EAGAIN:
+		return 0, os.ErrDeadlineExceeded
+	case failed != nil:
+		return 0, failed
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
+// turnAway ends a connection that is not served, in good order as far as that goes without waiting.
+func turnAway(nc net.Conn) {
+	if half, ok := nc.(interface{ CloseWrite() error }); ok {
+		half.CloseWrite()
+	}
+	discard(nc)
+	nc.Close()
+}
+
+// discard throws away what lies unread on a connection that is closed next: its router is to hear an end and no reset.
+func discard(nc net.Conn) {
+	buf := make([]byte, 4<<10)
+	for size := 0; size < lingerSize; {
+		n, err := (unread{nc}).Read(buf)
+		if err != nil {
+			return
+		}
+		size += n
+	}
 }
 
 // fail ends a connection on which came what no router sends. What else was open on it is aborted, as its client cannot be
@@ -162,7 +250,7 @@
 // readOn reads an ended connection to its end, within bounds, and takes nothing in.
 func (c *conn) readOn() {
 	c.mu.Lock()
-	if c.phase < ending { // the router has ended it
+	if c.phase < ending || c.evicted { // the router has ended it, or there is no time
 		c.mu.Unlock()
 		return
 	}
--- a/server/listen.go
+++ b/server/listen.go
@@ -23,8 +23,9 @@
 	// one when they have something to send, but this process may be off its core for a tenth of a second.
 	fresh = 250 * time.Millisecond
 	// giveBack is waited for a descriptor to be free again: a close takes microseconds, and accepting without it
-	// runs into the limit.
-	giveBack = 5 * time.Millisecond
+	// runs into the limit. Of what is kept back, mostGoing may be taken by connections that are still on their way out.
+	giveBack  = 5 * time.Millisecond
+	mostGoing = 4
 	// socketBuffer is what the system may hold for a connection in each direction, as that counts as ours: all
 	// that one may carry at once.
 	socketBuffer = 64 << 10
@@ -67,7 +68,7 @@
 	}
 	if why != "" {
 		s.door.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
-		nc.Close() // nothing has been read, so nothing is owed
+		turnAway(nc) // nothing has been read, so nothing is owed
 		return
 	}
 	if tcp, ok := nc.(*net.TCPConn); ok {
@@ -116,33 +117,45 @@
 }
 
 // room tells whether there is room for another connection. Once there is none it closes one: the oldest that
-// has been silent from the start, else the one idle longest.
+// has been silent from the start, else the one idle longest. One on which something lies unread stays until that is answered,
+// and the newcomer does not wait for it; a few of those fit into what is kept back.
 func (s *Server) room() bool {
-	out, ok := s.least()
-	if out != nil {
+	for range mostGoing {
+		out, going, ok := s.least()
+		if out == nil {
+			return ok
+		}
 		late := time.NewTimer(giveBack)
 		defer late.Stop()
 		select {
 		case <-out.gone:
+			return true
 		case <-late.C:
 		}
+		if going <= mostGoing {
+			return true
+		}
 	}
-	return ok
+	return false
 }
 
-// least gives the connection that is closed to make room, none if there is room or all are at work.
-func (s *Server) least() (out *conn, ok bool) {
+// least gives the connection that is closed to make room and how many are on their way then, none if there is room or all are
+// at work.
+func (s *Server) least() (out *conn, going int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) < s.charter.Load().Sockets-s.reserved() {
-		return nil, true
+		return nil, 0, true
 	}
 	now := time.Now()
 	for len(s.conns) > 0 {
 		var ended, silent, idlest quiet
+		going = 1
 		for c := range s.conns {
 			q, idle := c.rested()
 			switch {
+			case q.going:
+				going++
 			case !idle:
 			case q.shut:
 				ended = q.earlier(ended)
@@ -154,14 +167,13 @@
 		}
 		out := cmp.Or(ended.conn, silent.conn, idlest.conn)
 		if out == nil {
-			return nil, false
+			return nil, 0, false
 		}
-		if out.endNow() {
-			delete(s.conns, out)
-			return out, true
+		if out.evict() {
+			return out, going, true
 		}
 	}
-	return nil, false
+	return nil, 0, false
 }
 
 // earlier gives the one of two that has been quiet for longer; none is nobody.
@@ -184,7 +196,7 @@
 		switch q, free := c.rested(); {
 		case !free || !q.known || q.part || q.shut:
 		case q.asked > leaveTime:
-			c.endAtRest()
+			c.end()
 		case q.asked > 0:
 			room--
 		case after > 0 && time.Since(q.since) > seconds(after):
--- a/server/reload.go
+++ b/server/reload.go
@@ -86,6 +86,8 @@
 	}
 	s.charter.Store(&next)
 	s.bound(&next)
+	effects := *s.press.effects.Load()
+	s.applied(effects, effects) // bounds that hang on the limits
 	s.link.Move(next.Kernel)
 	signal(s.said)
 	s.log.Info("charter taken over", zap.Stringer("kernel", next.Kernel), zap.Stringer("roster", next.Roster))
--- a/server/server.go
+++ b/server/server.go
@@ -47,7 +47,9 @@
 	warmAt    atomic.Int64                 // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
 
 	life  atomic.Int32 // see enter
-	held  atomic.Int64 // bytes of RPCs whose answer is owed, about
+	last  farewell
+	half  time.Duration // see halfFor
+	held  atomic.Int64  // bytes of RPCs whose answer is owed, about
 	mu    sync.Mutex
 	conns map[*conn]struct{}
 	left  chan struct{} // holds one after a connection has ended
@@ -76,7 +78,7 @@
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		up: make(chan struct{}), left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
-		press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
+		last: usual, half: halfFor, press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
 	s.charter.Store(c)
 	s.read = c
 	for k, name := range c.Methods {
@@ -125,12 +127,20 @@
 	}
 	live, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
+	// The notice to leave comes from outside, or from a duty without which nobody would be served: either way all that has
+	// been read is answered first.
+	ctx, giveNotice := context.WithCancelCause(ctx)
+	defer giveNotice(nil)
 	var all context.Context
 	s.group, all = errgroup.WithContext(live)
 	closed := make(chan struct{}) // when the listener is
 	s.group.Go(func() error {
 		defer close(closed)
-		return s.accept(all, listener)
+		if err := s.accept(all, listener); err != nil {
+			s.log.Error("no newcomers any more, leaving", zap.Error(err))
+			giveNotice(err)
+		}
+		return nil
 	})
 	if member != nil {
 		s.group.Go(func() error { return s.takePart(ctx, all, member, offices) })
@@ -160,6 +170,9 @@
 	if errors.Is(err, context.Canceled) {
 		err = nil
 	}
+	if cause := context.Cause(ctx); err == nil && !errors.Is(cause, context.Canceled) {
+		err = cause
+	}
 	s.log.Info("stopped", zap.Error(err))
 	return err
 }
@@ -184,10 +197,12 @@
 	s.log.Info("leaving", zap.Stringer("stage", to))
 }
 
-// What is left of the time before the kill once nobody new is let in; once connections are ended, of which a router has
-// heard a tenth of a second before; and once the process ends whatever is still open: a connection is given up by its router
-// within some tens of milliseconds.
-const beforeLastCall, beforeGoodbye, beforeExit = 0.4, 0.3, 0.08
+// farewell is what is left of the time before the kill once nobody new is let in; once connections are ended, of which a
+// router has heard a tenth of a second before; once nothing more is taken in, of who sends on all the same; and once the
+// process ends whatever is still open: a connection is given up by its router within some tens of milliseconds.
+type farewell struct{ lastCall, goodbye, hush, exit float64 }
+
+var usual = farewell{lastCall: 0.4, goodbye: 0.3, hush: 0.2, exit: 0.08}
 
 // leave waits for the notice and then sees the process out. The others go on until it returns: what is read by then is
 // answered.
@@ -201,7 +216,7 @@
 	stop := clock() + s.charter.Load().Stop
 	s.enter(noticed)
 	s.gate.Leave(clock(), stop)
-	if !sleep(all, stop-beforeLastCall-clock()) {
+	if !sleep(all, stop-s.last.lastCall-clock()) {
 		return nil
 	}
 	listener.SetDeadline(time.Unix(1, 0))
@@ -212,20 +227,23 @@
 	case <-closed: // all that were let in are among the connections
 	}
 	for {
-		if clock() > stop-beforeGoodbye && s.life.Load() == int32(lastCall) {
+		if clock() > stop-s.last.goodbye && s.life.Load() == int32(lastCall) {
 			s.enter(goodbye)
 		}
 		s.mu.Lock()
 		for c := range s.conns {
-			if s.life.Load() == int32(goodbye) {
+			switch {
+			case clock() > stop-s.last.hush:
+				c.cutShort()
+			case s.life.Load() == int32(goodbye):
 				c.end()
-			} else {
+			default:
 				c.drain()
 			}
 		}
 		n := len(s.conns)
 		s.mu.Unlock()
-		if n > 0 && clock() > stop-beforeExit {
+		if n > 0 && clock() > stop-s.last.exit {
 			s.log.Warn("connections cut off", zap.Int("connections", n))
 			n = 0
 		}
@@ -267,30 +285,39 @@
 		if err != nil {
 			return nil
 		}
-		k := job.For
-		switch job.Do {
-		case gate.Run:
-			if err := s.link.Run(&run{job.RPC, k}, k.uid, s.charter.Load().Methods[k.method], k.body); err != nil {
-				s.door.Warn("run not asked for", zap.Error(err))
-				s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
-			}
-		case gate.Pause:
-			s.link.Pause(k.uid)
-		case gate.Serve:
-			s.press.ok[k.method].Add(1)
-			k.answer(len(job.Result), func(out []byte, load float64) []byte {
-				return thrift.Served(out, k.seq, job.Result, load)
-			})
-		case gate.PushBack:
-			k.answer(0, func(out []byte, load float64) []byte {
-				return thrift.PushedBack(out, k.seq, job.Last, job.After, load)
-			})
-		case gate.Abort:
-			k.answer(0, func(out []byte, load float64) []byte { return thrift.Aborted(out, k.seq, load) })
+		if s.stopPanic(func() error {
+			s.do(job)
+			return nil
+		}) != nil && job.Do == gate.Run { // whether it was asked for is not known
+			s.gate.Report(clock(), job.RPC, rpc.Error, 0, nil)
 		}
 	}
 }
 
+func (s *Server) do(job gate.Job[*call]) {
+	k := job.For
+	switch job.Do {
+	case gate.Run:
+		if err := s.link.Run(&run{job.RPC, k}, k.uid, s.charter.Load().Methods[k.method], k.body); err != nil {
+			s.door.Warn("run not asked for", zap.Error(err))
+			s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
+		}
+	case gate.Pause:
+		s.link.Pause(k.uid)
+	case gate.Serve:
+		s.press.ok[k.method].Add(1)
+		k.answer(len(job.Result), func(out []byte, load float64) []byte {
+			return thrift.Served(out, k.seq, job.Result, load)
+		})
+	case gate.PushBack:
+		k.answer(0, func(out []byte, load float64) []byte {
+			return thrift.PushedBack(out, k.seq, job.Last, job.After, load)
+		})
+	case gate.Abort:
+		k.answer(0, func(out []byte, load float64) []byte { return thrift.Aborted(out, k.seq, load) })
+	}
+}
+
 // freshGauges: how long the gauges are waited for. They come from the same machine; past it the time matters
 // more than they do.
 const freshGauges = 10 * time.Millisecond
@@ -327,7 +354,10 @@
 		case <-ctx.Done():
 			return nil
 		case <-tidy.C:
-			s.tidy()
+			s.stopPanic(func() error {
+				s.tidy()
+				return nil
+			})
 		case <-s.gate.Changed():
 		case <-s.well:
 		}
