Keep tokens until a process that was stopped has read what came meanwhile

Seen, by review and forced by a test: a process stopped for longer than a window, with a repeat unread that came within it. The first look at the time forgot the token, 5 s past its window by a clock that had gone on without any reading; the repeat was then read as new: refused though its RPC had run, or run again where its deadline was far. Ruled out: the order in which the reader comes first, which found the token; recv, by which repeats count. At fault: table.expire, whose 5 s for what lies unread took it for granted that the process reads. Now a look that comes 2.5 s late or more holds forgetting for another 5 s. Without it Example_stopped has a2 pushed back.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -357,6 +357,36 @@
 	// credit 12
 }
 
+// A process that was stopped for longer than a window, with a repeat unread that came within it: whichever is first when it goes
+// on, the look at the time or the reader, the repeat does not run. Once it has been reading for a while the token is free.
+func Example_stopped() {
+	for _, lookFirst := range []bool{true, false} {
+		s := open(2, 1000)
+		s.arrive("a1", write, "t")
+		s.pass(0.1)
+		s.report("a1", rpc.OK, "done")
+		s.now += 30 // stopped
+		if lookFirst {
+			s.pass(0.1)
+		}
+		s.came("a2", write, s.now-25, "t", "body")
+		s.pass(unread + 0.1)
+		s.arrive("b1", write, "t")
+		fmt.Println(len(s.tokens.entries), len(s.tokens.oldest))
+	}
+	// Output:
+	//  0.00 a1: run
+	//  0.10 a1: ok "done"
+	// 30.20 a2: ok "done"
+	// 35.30 b1: run
+	// 1 1
+	//  0.00 a1: run
+	//  0.10 a1: ok "done"
+	// 30.10 a2: ok "done"
+	// 35.20 b1: run
+	// 1 1
+}
+
 // A window shorter than a run: its repeats wait for the outcome, also those past the window and those that follow for
 // longer than tokens are kept, and none runs beside it. Then the token is free.
 func Example_shortWindow() {
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -49,10 +49,13 @@
 	results []*entry // with a result, the first to be kept first
 	bytes   int
 	limit   int
+	looked  float64 // when it was last looked through
+	holds   float64 // until when nothing is forgotten
 }
 
-// unread is how long a repeat may lie unread on a machine that still reads at all.
-const unread = 5.0
+// unread is how long a repeat may lie unread on a machine that still reads at all; asleep, without a look for so long, it has
+// not. Looks come fifty times a second; half of unread leaves the other half for reading what came meanwhile.
+const unread, asleep = 5.0, unread / 2
 
 func newTable(limit int) table { return table{entries: map[string]*entry{}, limit: limit} }
 
@@ -140,8 +143,14 @@
 	}
 }
 
+// expire forgets tokens past their time. Guards against a process that was stopped, and looks here before it has read what came
+// meanwhile: a repeat among that counts by when it came, and its token is still needed.
 func (t *table) expire(now float64) {
-	for len(t.oldest) > 0 && t.oldest[0].end+unread < now {
+	if now-t.looked > asleep {
+		t.holds = now + unread
+	}
+	t.looked = now
+	for now >= t.holds && len(t.oldest) > 0 && t.oldest[0].end+unread < now {
 		if e := t.oldest[0]; e.inHand() && t.entries[e.token] == e {
 			e.unlisted = true // until its outcome is there
 		} else {
