Name the stages of a drain, eviction and rejection by their standard terms

Need: the code that was touched called them life, noticed, last call, goodbye, farewell, tidy, room, door. Moves and names alone; the log line 'leaving' with its stage is 'drain' now.

--- a/server/conn.go
+++ b/server/conn.go
@@ -94,7 +94,7 @@
 	context.AfterFunc(live, func() { c.Close() })
 	c.group.Go(func() error {
 		if err := c.stopPanic(func() error { return c.write(live) }); err != nil {
-			c.door.Warn("connection cut off", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
+			c.limited.Warn("connection cut off", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
 			end()
 		}
 		return nil
@@ -143,7 +143,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase == serving {
-		c.move(leaving)
+		c.move(draining)
 		c.askedAt = time.Now()
 		c.queue(func(out []byte, _ float64) []byte { return thrift.Draining(out) })
 	}
@@ -424,7 +424,7 @@
 }
 
 func (c *conn) unreadable(seq int32, why string) {
-	c.door.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
+	c.limited.Warn("RPC unreadable", zap.Stringer("router", c.RemoteAddr()), zap.String("field", why))
 	c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
 	c.odd.Add(1)
 }
--- a/server/end.go
+++ b/server/end.go
@@ -18,11 +18,11 @@
 type phase uint8
 
 const (
-	serving phase = iota // what comes is taken in
-	leaving              // the router has been asked to send nothing more; what comes all the same is taken in
-	closing              // it is shut as soon as nothing is owed on it and nothing lies unread
-	ending               // nothing more is taken in, what is owed is still written
-	shut                 // all has been written and our side is shut; what comes is read and thrown away
+	serving  phase = iota // what comes is taken in
+	draining              // the router has been asked to send nothing more; what comes all the same is taken in
+	closing               // it is shut as soon as nothing is owed on it and nothing lies unread
+	ending                // nothing more is taken in, what is owed is still written
+	shut                  // all has been written and our side is shut; what comes is read and thrown away
 )
 
 const (
@@ -181,8 +181,8 @@
 	return n, nil
 }
 
-// turnAway ends a connection that is not served, in good order as far as that goes without waiting.
-func turnAway(nc net.Conn) {
+// reject ends a connection that is not served, in good order as far as that goes without waiting.
+func reject(nc net.Conn) {
 	if half, ok := nc.(interface{ CloseWrite() error }); ok {
 		half.CloseWrite()
 	}
@@ -205,7 +205,7 @@
 // fail ends a connection on which came what no router sends. What else was open on it is aborted, as its client cannot be
 // believed any more; the RPC whose number came twice gets no answer, which would be one to both.
 func (c *conn) fail(err error) {
-	c.door.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
+	c.limited.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
 	c.mu.Lock()
 	open := c.open
 	c.open, c.reading = map[int32]*call{}, false
--- a/server/end_test.go
+++ b/server/end_test.go
@@ -202,7 +202,7 @@
 	first, c, g := t.gatedRouter()
 	t.rest(first, c, g)
 	c.mu.Lock()
-	c.move(leaving) // so that it is not asked to, which would be heard
+	c.move(draining) // so that it is not asked to, which would be heard
 	c.mu.Unlock()
 	first.execute(2)
 	newcomer := t.dial()
@@ -228,7 +228,7 @@
 }
 
 // A newcomer that is turned away, its first RPC unread, hears an end. A close alone would be a reset.
-func Example_turnAwayUnread() {
+func Example_rejectUnread() {
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	defer listener.Close()
 	r := &router{Conn: must(net.Dial("tcp", listener.Addr().String()))}
@@ -240,7 +240,7 @@
 		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
 		return n > 0
 	})
-	turnAway(nc)
+	reject(nc)
 	must(r.Conn.(*net.TCPConn).SyscallConn()).Control(func(fd uintptr) {
 		fault, _ := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
 		fmt.Println("reset:", fault != 0)
@@ -251,12 +251,12 @@
 	// router: the end, after 0 bytes
 }
 
-// Routers that rest until the app server ends them, at the exit. What lies unread at the goodbye is answered, and its router
+// Routers that rest until the app server ends them, at the exit. What lies unread as connections are closed is answered, and its router
 // hears the end in good order. Before, the process ended over it; or the RPC was read when nobody was there any more to answer
 // it.
 func Example_exitCrossed() {
 	t := openHeld(func(c *charter.Charter) { c.Stop, c.Rules.Rules.Grace = 40, 0.05 })
-	t.last = farewell{lastCall: 39.5, goodbye: 39.4, hush: 0.2, exit: 0.1}
+	t.spans = drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1}
 	t.link()
 	r, c, g := t.gatedRouter()
 	t.rest(r, c, g)
@@ -272,7 +272,7 @@
 	other.execute(4)
 	other.hear(1)
 	other.ends()
-	until("goodbye", c.is(closing))
+	until("closing", c.is(closing))
 	g.free()
 	r.hear(1)
 	r.ends()
@@ -295,11 +295,11 @@
 	// kernel: 0 more
 }
 
-// Who sends on past the goodbye and the hush is not waited for: what comes then is read and thrown away, and the end is in
+// Who sends on past the end of its connection is not waited for: what comes then is read and thrown away, and the end is in
 // good order all the same.
-func Example_hush() {
+func Example_cutShort() {
 	t := openHeld(func(c *charter.Charter) { c.Stop = 40 })
-	t.last = farewell{lastCall: 39.9, goodbye: 39.8, hush: 39.7, exit: 0.1}
+	t.spans = drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1}
 	t.link()
 	r, c, g := t.gatedRouter()
 	t.rest(r, c, g)
@@ -362,7 +362,7 @@
 // Connections that the machine has accepted and the program has not, as the listener closes: they are taken in and what is
 // on them is answered. One that comes after the close is refused, which proves that nothing ran. Before, the close reset
 // those in the queue.
-func Example_lastCall() {
+func Example_notAccepting() {
 	t := open(nil)
 	t.Server.mu.Lock() // who accepts now waits with the first in hand
 	first, queued, last := t.dial(), t.dial(), t.dial()
@@ -370,7 +370,7 @@
 		r.execute(k + 1)
 	}
 	t.notice()
-	until("last call", func() bool { return life(t.life.Load()) >= lastCall })
+	until("not accepting", func() bool { return stage(t.stageAt.Load()) >= stageNotAccepting })
 	t.Server.mu.Unlock()
 	for _, r := range []*router{first, queued, last} {
 		r.hear(2)
@@ -473,13 +473,13 @@
 	c.mu.Lock()
 	c.askedAt = c.askedAt.Add(-2 * leaveTime)
 	c.mu.Unlock()
-	t.tidy()
+	t.closeIdle()
 	r.Write(second.sent[20:])
 	t.asked()
 	t.reap(2, "fine", "two")
 	r.hear(1)
 	until("rests", c.resting)
-	t.tidy()
+	t.closeIdle()
 	r.ends()
 	t.close()
 	// Output:
@@ -511,7 +511,7 @@
 	r.execute(1)
 	t.asked()
 	t.door.Close()
-	until("leaving", func() bool { return life(t.life.Load()) == noticed })
+	until("leaving", func() bool { return stage(t.stageAt.Load()) == stageDraining })
 	t.reap(1, "fine", "one")
 	r.hear(2)
 	r.ends()
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -81,7 +81,7 @@
 		if time.Since(loaded) >= loadEvery {
 			load, loaded = s.load(), time.Now()
 		}
-		state := s.stage()
+		state := s.fleetState()
 		m.Say(state, state == view.Serving && !s.healthy(), load)
 		select {
 		case <-all.Done():
@@ -166,7 +166,7 @@
 	switch sure := m.View().Sure; {
 	case sure >= view.Narrow:
 		return fmt.Errorf("the view is %v", sure)
-	case s.stage() != view.Serving:
+	case s.fleetState() != view.Serving:
 		return errors.New("it is cold")
 	case !s.healthy() || s.press.level.Load() >= int32(pressure.Pressed):
 		return errors.New("it is pressed, or its work hangs")
@@ -174,8 +174,8 @@
 	return nil
 }
 
-// stage is how far the app server has come: at full strength once its kernel is up and has warmed.
-func (s *Server) stage() view.State {
+// fleetState is how far the app server has come: at full strength once its kernel is up and has warmed.
+func (s *Server) fleetState() view.State {
 	if at := s.warmAt.Load(); at == 0 || clock() < float64(at)/1e9 {
 		return view.Cold
 	}
--- a/server/listen.go
+++ b/server/listen.go
@@ -17,7 +17,7 @@
 const (
 	reserve   = 16                     // descriptors for the listener, the kernel, the roster, Go itself
 	leaveTime = time.Second            // for a router that was asked to close an idle connection
-	tidyEvery = 250 * time.Millisecond // connections are looked at; idle times are many times that
+	idleEvery = 250 * time.Millisecond // connections are looked at; idle times are many times that
 	asideOnce = 16                     // idle connections asked to make room at a time
 	// fresh is how long a new connection may take to bring its first RPC before it counts as silent: routers open
 	// one when they have something to send, but this process may be off its core for a tenth of a second.
@@ -31,7 +31,7 @@
 	socketBuffer = 64 << 10
 )
 
-// accept takes connections up to what the descriptors allow until the last call, which is the listener's deadline, and then
+// accept takes connections up to what the descriptors allow until it stops accepting, which is the listener's deadline, and then
 // closes the listener.
 func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
 	defer listener.Close()
@@ -43,12 +43,12 @@
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			s.admitQueued(ctx, listener)
+			s.acceptQueued(ctx, listener)
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err) // nobody would ever come in again: no app server that looks well
 		default:
-			s.door.Warn("accept", zap.Error(err))
+			s.limited.Warn("accept", zap.Error(err))
 			if !sleep(ctx, 0.01) {
 				return nil
 			}
@@ -63,12 +63,12 @@
 	switch {
 	case !s.press.effects.Load().Accept:
 		why = "connection turned away under pressure"
-	case !s.room():
+	case !s.makeRoom():
 		why = "connection turned away, all others are at work"
 	}
 	if why != "" {
-		s.door.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
-		turnAway(nc) // nothing has been read, so nothing is owed
+		s.limited.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
+		reject(nc) // nothing has been read, so nothing is owed
 		return
 	}
 	if tcp, ok := nc.(*net.TCPConn); ok {
@@ -83,10 +83,10 @@
 	c.serve(ctx)
 }
 
-// admitQueued takes in what the machine has accepted for the listener and nobody has fetched yet. Guards against a close
+// acceptQueued takes in what the machine has accepted for the listener and nobody has fetched yet. Guards against a close
 // over it: the system would reset those connections, with RPCs on them that count as read. None is waited for, so that what
 // remains is the instant between the last look and the close.
-func (s *Server) admitQueued(ctx context.Context, listener *net.TCPListener) {
+func (s *Server) acceptQueued(ctx context.Context, listener *net.TCPListener) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
 		return
@@ -104,7 +104,7 @@
 			file := os.NewFile(uintptr(fd), "router")
 			defer file.Close()
 			if nc, e = net.FileConn(file); e != nil {
-				s.door.Warn("accept", zap.Error(e))
+				s.limited.Warn("accept", zap.Error(e))
 			}
 		})
 		switch {
@@ -116,12 +116,12 @@
 	}
 }
 
-// room tells whether there is room for another connection. Once there is none it closes one: the oldest that
+// makeRoom tells whether there is room for another connection. Once there is none it closes one: the oldest that
 // has been silent from the start, else the one idle longest. One on which something lies unread stays until that is answered,
 // and the newcomer does not wait for it; a few of those fit into what is kept back.
-func (s *Server) room() bool {
+func (s *Server) makeRoom() bool {
 	for range mostGoing {
-		out, going, ok := s.least()
+		out, going, ok := s.evictOne()
 		if out == nil {
 			return ok
 		}
@@ -139,9 +139,9 @@
 	return false
 }
 
-// least gives the connection that is closed to make room and how many are on their way then, none if there is room or all are
+// evictOne gives the connection that is closed to make room and how many are on their way then, none if there is room or all are
 // at work.
-func (s *Server) least() (out *conn, going int, ok bool) {
+func (s *Server) evictOne() (out *conn, going int, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.conns) < s.charter.Load().Sockets-s.reserved() {
@@ -184,9 +184,9 @@
 	return than
 }
 
-// tidy ends what has been idle for as long as the module says, and asks those idle longest to go before the descriptors run
+// closeIdle ends what has been idle for as long as the module says, and asks those idle longest to go before the descriptors run
 // out. A router that is in the middle of a message is neither: the reader has a bound for that.
-func (s *Server) tidy() {
+func (s *Server) closeIdle() {
 	after := s.gate.Idle()
 	var idle []quiet
 	room := asideOnce
--- a/server/server.go
+++ b/server/server.go
@@ -31,7 +31,7 @@
 	charter atomic.Pointer[charter.Charter] // the one in force
 	read    *charter.Charter                // as last read; only Reload's goroutine has it
 	log     *zap.Logger
-	door    *zap.Logger // for what any client can cause, as often as it likes: limited in rate
+	limited *zap.Logger // for what any client can cause, as often as it likes: limited in rate
 	gate    *gate.Gate[*call]
 	press   *press
 	signal  rpc.Signal // what callers make of the credit
@@ -46,16 +46,16 @@
 	lender    atomic.Pointer[fleet.Lender] // of permits under common limits; nil where there are none
 	warmAt    atomic.Int64                 // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
 
-	life  atomic.Int32 // see enter
-	last  farewell
-	half  time.Duration // see halfFor
-	held  atomic.Int64  // bytes of RPCs whose answer is owed, about
-	mu    sync.Mutex
-	conns map[*conn]struct{}
-	left  chan struct{} // holds one after a connection has ended
-	up    chan struct{} // closed once the kernel is up
-	said  chan struct{} // holds one when the roster is to hear at once
-	well  chan struct{} // holds one when health may have changed by the process's own doing
+	stageAt atomic.Int32 // see enter
+	spans   drainSpans
+	half    time.Duration // see halfFor
+	held    atomic.Int64  // bytes of RPCs whose answer is owed, about
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	left    chan struct{} // holds one after a connection has ended
+	up      chan struct{} // closed once the kernel is up
+	said    chan struct{} // holds one when the roster is to hear at once
+	well    chan struct{} // holds one when health may have changed by the process's own doing
 }
 
 // run is a call which the kernel was asked to run.
@@ -74,18 +74,18 @@
 
 // NewUnder is New under the operators' own bylaws.
 func NewUnder(c *charter.Charter, b *charter.Bylaws, log *zap.Logger) *Server {
-	s := &Server{log: log, door: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+	s := &Server{log: log, limited: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		up: make(chan struct{}), left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
-		last: usual, half: halfFor, press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
+		spans: usualSpans, half: halfFor, press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetLaws: b.Fleet, fleetRead: b.Fleet}
 	s.charter.Store(c)
 	s.read = c
 	for k, name := range c.Methods {
 		s.methods[name] = k
 	}
 	s.gate = gate.New[*call](clock(), c.Rules, c.Memory/keepShare)
-	s.link = kernel.New[*run](c.Kernel, s, s.door)
+	s.link = kernel.New[*run](c.Kernel, s, s.limited)
 	return s
 }
 
@@ -177,32 +177,32 @@
 	return err
 }
 
-// life is how far the app server has come on its way out. It only goes on, and only enter changes it.
-type life int32
+// stage is how far the app server has come on its way out. It only goes on, and only enter changes it.
+type stage int32
 
 const (
-	living   life = iota
-	noticed       // late routers are still answered
-	lastCall      // nobody new is let in, routers are asked to go
-	goodbye       // their connections are ended
-	over
+	stageServing      stage = iota
+	stageDraining           // late routers are still answered
+	stageNotAccepting       // nobody new is let in, routers are asked to go
+	stageClosing            // their connections are ended
+	stageStopped
 )
 
-func (l life) String() string {
-	return [...]string{"living", "noticed", "last call", "goodbye", "over"}[l]
+func (g stage) String() string {
+	return [...]string{"serving", "draining", "not accepting", "closing connections", "stopped"}[g]
 }
 
-func (s *Server) enter(to life) {
-	s.life.Store(int32(to))
-	s.log.Info("leaving", zap.Stringer("stage", to))
+func (s *Server) enter(to stage) {
+	s.stageAt.Store(int32(to))
+	s.log.Info("drain", zap.Stringer("stage", to))
 }
 
-// farewell is what is left of the time before the kill once nobody new is let in; once connections are ended, of which a
+// drainSpans are what is left of the time before the kill once nobody new is let in; once connections are ended, of which a
 // router has heard a tenth of a second before; once nothing more is taken in, of who sends on all the same; and once the
 // process ends whatever is still open: a connection is given up by its router within some tens of milliseconds.
-type farewell struct{ lastCall, goodbye, hush, exit float64 }
+type drainSpans struct{ notAccepting, closing, cutShort, exit float64 }
 
-var usual = farewell{lastCall: 0.4, goodbye: 0.3, hush: 0.2, exit: 0.08}
+var usualSpans = drainSpans{notAccepting: 0.4, closing: 0.3, cutShort: 0.2, exit: 0.08}
 
 // leave waits for the notice and then sees the process out. The others go on until it returns: what is read by then is
 // answered.
@@ -214,28 +214,28 @@
 	case <-ctx.Done():
 	}
 	stop := clock() + s.charter.Load().Stop
-	s.enter(noticed)
+	s.enter(stageDraining)
 	s.gate.Leave(clock(), stop)
-	if !sleep(all, stop-s.last.lastCall-clock()) {
+	if !sleep(all, stop-s.spans.notAccepting-clock()) {
 		return nil
 	}
 	listener.SetDeadline(time.Unix(1, 0))
-	s.enter(lastCall)
+	s.enter(stageNotAccepting)
 	select {
 	case <-all.Done():
 		return nil
 	case <-closed: // all that were let in are among the connections
 	}
 	for {
-		if clock() > stop-s.last.goodbye && s.life.Load() == int32(lastCall) {
-			s.enter(goodbye)
+		if clock() > stop-s.spans.closing && s.stageAt.Load() == int32(stageNotAccepting) {
+			s.enter(stageClosing)
 		}
 		s.mu.Lock()
 		for c := range s.conns {
 			switch {
-			case clock() > stop-s.last.hush:
+			case clock() > stop-s.spans.cutShort:
 				c.cutShort()
-			case s.life.Load() == int32(goodbye):
+			case s.stageAt.Load() == int32(stageClosing):
 				c.end()
 			default:
 				c.drain()
@@ -243,12 +243,12 @@
 		}
 		n := len(s.conns)
 		s.mu.Unlock()
-		if n > 0 && clock() > stop-s.last.exit {
+		if n > 0 && clock() > stop-s.spans.exit {
 			s.log.Warn("connections cut off", zap.Int("connections", n))
 			n = 0
 		}
 		if n == 0 {
-			s.enter(over)
+			s.enter(stageStopped)
 			return nil
 		}
 		select {
@@ -299,7 +299,7 @@
 	switch job.Do {
 	case gate.Run:
 		if err := s.link.Run(&run{job.RPC, k}, k.uid, s.charter.Load().Methods[k.method], k.body); err != nil {
-			s.door.Warn("run not asked for", zap.Error(err))
+			s.limited.Warn("run not asked for", zap.Error(err))
 			s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
 		}
 	case gate.Pause:
@@ -346,16 +346,16 @@
 
 // watch passes on changes of condition and closes connections that have been idle.
 func (s *Server) watch(ctx context.Context) error {
-	tidy := time.NewTicker(tidyEvery)
-	defer tidy.Stop()
+	idle := time.NewTicker(idleEvery)
+	defer idle.Stop()
 	healthy := false
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-tidy.C:
+		case <-idle.C:
 			s.stopPanic(func() error {
-				s.tidy()
+				s.closeIdle()
 				return nil
 			})
 		case <-s.gate.Changed():
