--- a/server/end_test.go
+++ b/server/end_test.go
@@ -551,6 +551,27 @@
 	// served: <nil>
 }
 
+// The link to the kernel breaks and stays away: what has been read is answered by its due time all the same, and nothing that was
+// asked for is called refused.
+func Example_linkAway() {
+	t := open(nil)
+	r := t.dial()
+	t.cores.Close()
+	t.kernel.Close()
+	r.execute(1, "ttl", "300")
+	r.hear(1)
+	r.execute(2, "op", "record", "dedupe", "t", "ttl", "300")
+	r.hear(1)
+	r.execute(3, "op", "record", "dedupe", "t", "ttl", "300")
+	r.hear(1)
+	t.close()
+	// Output:
+	// router: 1 pushed back
+	// router: 2 aborted
+	// router: 3 aborted
+	// served: <nil>
+}
+
 // A reload that lowers the memory limit bounds what is kept of results at once: what goes is aborted when it is asked for
 // again, never run.
 func Example_lowered() {
