--- a/server/end_test.go
+++ b/server/end_test.go
@@ -257,7 +257,7 @@
 func Example_exitCrossed() {
 	t := openHeld(func(c *charter.Charter) { c.Stop, c.Rules.Rules.Grace = 40, 0.05 })
 	t.spans = drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1}
-	t.link()
+	t.linkUp()
 	r, c, g := t.gatedRouter()
 	t.rest(r, c, g)
 	other := t.dial()
@@ -300,7 +300,7 @@
 func Example_cutShort() {
 	t := openHeld(func(c *charter.Charter) { c.Stop = 40 })
 	t.spans = drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1}
-	t.link()
+	t.linkUp()
 	r, c, g := t.gatedRouter()
 	t.rest(r, c, g)
 	t.notice()
@@ -328,7 +328,7 @@
 	for _, bound := range []time.Duration{patience, 0} {
 		t := openHeld(nil)
 		t.half = bound
-		t.link()
+		t.linkUp()
 		r, c, g := t.gatedRouter()
 		t.rest(r, c, g)
 		second.sent = nil
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -47,9 +47,14 @@
 
 func openLogged(change func(c *charter.Charter), log *zap.Logger) *town {
 	t := openHeldLogged(change, log)
+	t.linkUp()
+	return t
+}
+
+// linkUp is link for the first time: the kernel comes up.
+func (t *town) linkUp() {
 	t.link()
 	until("kernel up", t.gate.Booted)
-	return t
 }
 
 // openHeld opens a town whose kernel is not up before link.
