Wait in a test of full tables until the connection rests that is to be evicted

Seen: Example_crowded once in 40 runs under the race detector and load: the router had heard its answer, and the app server's writer had not yet returned from writing it, so no connection rested and the newcomer was rejected. Ruled out: eviction. The condition is waited for now; what is checked is the same.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -448,6 +448,7 @@
 	}
 	t.reap(1, "fine", "one")
 	first.hear(1)
+	until("rests", func() bool { return slices.ContainsFunc(t.connections(), (*conn).resting) })
 	third := t.dial()
 	third.execute(3)
 	first.hear(1)
