Hold calls to their share over every span; leave calls out, share reads, weigh tenants

Ruled out: calls counted too short (an abandoned one counts for the whole of lingerS), the whole part of a share (never passed). At fault: calls.go, the calls past the whole part: gaps that keep their mean leave spans that begin with a call above it (Example_shareOverSpan: 0.76 of a share of 0.5), and a slow store has all app servers begin theirs together. Now a call past the whole part needs room in the span that ends with it, with what it may take until abandoned; no span has more, so neither has their sum.

Values that only suited the earlier ones: one RPC a core off the cores at calls assumed that calls are short beside the work; now three while calls are well and none waits, and three calls a core at a tier that decides for itself. On sockets none of the three settings counts: reads' subjects and tenants are not passed on, calls are not built.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -73,8 +73,8 @@
 	return nil
 }
 
-func (h *host) Order(who uint32, handle uint64, lay float64, further bool, repeats uint64, due float64,
-	from uint16, kb float64, class uint16) {
+func (h *host) Order(who uint32, handle uint64, lay float64, further, reads bool, repeats uint64, due float64,
+	from uint16, tenant uint32, kb float64, class uint16) {
 	g := h.guests[who]
 	if g == nil {
 		return
@@ -98,7 +98,7 @@
 		g.handles = append(g.handles, handle)
 	}
 	g.index[handle] = i
-	g.module.Arrive(h.now, i, int(class), caller, lay, further, due, kb, earlier)
+	g.module.Arrive(h.now, i, int(class), caller, int(tenant), lay, further, reads, due, kb, earlier)
 }
 
 // find looks up an RPC that is still in hand; what is not is passed over.
@@ -153,6 +153,7 @@
 func (g *guest) Start(i int)                  { g.reply.Take(g.who, g.handles[i]) }
 func (g *guest) Stop(i int)                   { g.reply.Interrupt(g.who, g.handles[i]) }
 func (g *guest) Call(i int, patience float64) { g.reply.Dial(g.who, g.handles[i], patience) }
+func (g *guest) Skip(i int)                   { g.reply.Skip(g.who, g.handles[i]) }
 func (g *guest) Abort(i int)                  { g.reply.Fail(g.who, g.handles[i]) }
 func (g *guest) Remember(i int, span float64) { g.reply.RecordKey(g.who, g.handles[i], span) }
 func (g *guest) Forget(i int)                 { g.reply.Evict(g.who, g.handles[i]) }
--- a/gate/actions.go
+++ b/gate/actions.go
@@ -35,6 +35,7 @@
 
 func (a *actions[T]) Stop(i int)         { a.job(i, Pause) }
 func (a *actions[T]) Call(int, float64)  {} // the charter lets no method call
+func (a *actions[T]) Skip(int)           {}
 func (a *actions[T]) Abort(i int)        { a.gate().answer(i, Job[T]{Do: Abort}) }
 func (a *actions[T]) Publish(v float64)  { a.credit = v }
 func (a *actions[T]) Wake(after float64) { a.wake = after }
@@ -46,6 +47,9 @@
 
 func (a *actions[T]) Remember(i int, span float64) {
 	s := &a.slots[i]
+	if s.token == "" {
+		return // what is read about is not told here
+	}
 	s.entry = a.tokens.remember(s.token, s.body, ID{i, s.life}, a.now+s.ahead+span)
 }
 
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -253,7 +253,7 @@
 			repeats = e.runner.i
 		}
 	}
-	g.module.Arrive(now, i, method, from, max(now-recv, 0), again && g.charter.Clients.MarksRetry, due, kb, repeats)
+	g.module.Arrive(now, i, method, from, 0, max(now-recv, 0), again && g.charter.Clients.MarksRetry, false, due, kb, repeats)
 	g.settle()
 	return id, true
 }
--- a/logic/calls.go
+++ b/logic/calls.go
@@ -9,17 +9,12 @@
 
 // Calls to what several app servers share.
 
-// waitsPerCore bounds the RPCs that wait on calls, so that a silent dependency leaves the methods without
-// calls their memory and their cores. One a core is many times what calls take while the dependency is
-// well.
-const waitsPerCore = 1
-
 // NeedsCall takes note that a running RPC waits to place a call.
 func (m *Module) NeedsCall(now float64, i int) {
 	m.now = now
 	switch w := &m.rpcs[i]; w.state {
 	case running:
-		w.tries = 0
+		w.tries, w.dialed = 0, m.now
 		m.move(i, stalled)
 	case adrift:
 		m.move(i, closing)
@@ -29,15 +24,26 @@
 }
 
 // place starts calls, longest waiting first, within this app server's share of what the dependency survives,
-// abandoned calls included. What the share is past a whole number is kept as a mean: one call more at times,
-// with gaps between, and with a patience that the span can bear should it stay silent.
+// abandoned calls included. What the share is past a whole number is kept as a mean over every span: one call
+// more at times, with a patience that the span can bear should it stay silent.
 func (m *Module) place() {
 	m.lingers = slices.DeleteFunc(m.lingers, func(end float64) bool { return end <= m.now })
 	whole, part := math.Modf(m.Machine.CallsOut)
+	// What cannot have its call in time goes without, and so does what holds up others by waiting, while the
+	// layer below is slow or for a share of it.
+	crowded := m.delay() > m.dt && (m.slow() && m.off() >= m.waits() || part > 0 && len(m.waiting) > 1)
+	for _, i := range slices.Clone(m.waiting) {
+		w := &m.rpcs[i]
+		if m.skips(w) > 0 && (crowded || m.goodUntil(w)-m.now < runMargin*m.callTook.median()) {
+			m.goWithout(i)
+		}
+	}
 	for len(m.waiting) > 0 {
 		out := float64(m.count[calling] + len(m.lingers) + 1)
 		extra := out > whole
-		if out > m.callLimit || extra && (out > whole+1 || part == 0 || m.now < m.nextCall) {
+		room := part*m.Machine.CallsSpan - m.beyond() - m.Machine.Linger
+		short := out > whole+1 || m.now < m.nextCall || room < max(runMargin*m.callTook.median(), margin)
+		if out > m.callLimit || extra && short {
 			return
 		}
 		i := m.waiting[0]
@@ -48,8 +54,8 @@
 			continue
 		}
 		if w.extra = extra; extra {
-			left = min(left, max(part*m.Machine.CallsSpan-m.Machine.Linger, margin))
-			m.nextCall = math.Inf(1) // until this one has ended
+			left = min(left, room)
+			m.extras = append(m.extras, [2]float64{m.now, m.now + left + m.Machine.Linger})
 		}
 		w.tries++
 		w.dialed = m.now
@@ -58,6 +64,58 @@
 	}
 }
 
+// off is how many RPCs are at a call or wait for one; waits is how many may: one a core while the layer below
+// is slow, so that a silent one leaves the other methods memory and cores, three while it is well, as calls
+// may take as long as the work beside them.
+func (m *Module) off() int { return m.count[stalled] + m.count[calling] + m.count[closing] }
+func (m *Module) waits() int {
+	if m.slow() || len(m.waiting) > 0 {
+		return m.Machine.Cores
+	}
+	return 3 * m.Machine.Cores
+}
+
+// slow tells whether calls take three times the best median, by those that have ended or one that is out;
+// until some have ended it is not known to be better.
+func (m *Module) slow() bool {
+	long := m.now - 3*m.callBest
+	return math.IsInf(m.callBest, 1) || m.callTook.median() > 3*m.callBest ||
+		slices.ContainsFunc(m.rpcs, func(w work) bool { return w.state == calling && w.dialed < long })
+}
+
+// skips is the part of its worth that a method's answer keeps without a call.
+func (m *Module) skips(w *work) float64 {
+	if w.method < len(m.Machine.SkipWorth) {
+		return m.Machine.SkipWorth[w.method]
+	}
+	return 0
+}
+
+// goWithout has an RPC go on without its call where its answer is still worth something, or gives it up.
+func (m *Module) goWithout(i int) {
+	w := &m.rpcs[i]
+	if m.skips(w) == 0 || m.now > w.due-margin || m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0 {
+		m.giveUp(i)
+		return
+	}
+	m.do.Skip(i)
+	m.move(i, running)
+}
+
+// beyond is for how long of the last span a call past the whole share was out, +Inf while one is. Gaps that
+// keep a mean leave more to spans that begin with a call, and a slow dependency has the whole fleet do so.
+func (m *Module) beyond() (sum float64) {
+	begin := m.now - m.Machine.CallsSpan
+	m.extras = slices.DeleteFunc(m.extras, func(e [2]float64) bool { return e[1] <= begin })
+	for _, e := range m.extras {
+		if e[1] > m.now {
+			return math.Inf(1)
+		}
+		sum += e[1] - max(e[0], begin)
+	}
+	return sum
+}
+
 // called follows the layer below: calls that take three times the best median, or are abandoned, cut the
 // calls at a time, others let them grow. The share is what it survives, not where it works well: crowded, it
 // slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in
@@ -76,16 +134,22 @@
 	if abandoned || took > 3*m.callBest {
 		m.callLimit = max(0.95*m.callLimit, 1)
 	} else {
-		m.callLimit = min(m.callLimit+0.1, m.cores())
+		most := m.cores()
+		if math.IsInf(m.Machine.CallsOut, 1) { // a tier, which decides for itself
+			most *= 3
+		}
+		m.callLimit = min(m.callLimit+0.1, most)
 	}
-	if _, part := math.Modf(m.Machine.CallsOut); w.extra {
+	if w.extra {
 		w.extra = false
-		m.nextCall = m.now + took*(1/part-1)
+		m.extras[len(m.extras)-1][1] = w.dialed + took
+		_, part := math.Modf(m.Machine.CallsOut)
+		m.nextCall = m.now + took*(1/part-1) // evenly, else the first of a span leave nothing for the last
 	}
 }
 
-// Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are
-// all; a call that may have taken effect is repeated only for an idempotent RPC.
+// Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are all;
+// a call that may have taken effect is repeated only for an idempotent RPC.
 func (m *Module) Called(now float64, i int, how rpc.Outcome) {
 	m.now = now
 	if w := &m.rpcs[i]; w.state == calling {
@@ -95,7 +159,7 @@
 		if how == rpc.OK {
 			m.move(i, running)
 		} else if !again || w.tries >= 3 {
-			m.giveUp(i)
+			m.goWithout(i)
 		}
 	}
 	m.place()
--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -56,7 +56,7 @@
 }
 
 func (d *desk) arriveAs(i, method, from int, lay float64, repeats int) {
-	d.m.Arrive(d.now, i, method, from, lay, d.further, 0, 20, repeats)
+	d.m.Arrive(d.now, i, method, from, 0, lay, d.further, true, 0, 20, repeats)
 }
 
 // pass lets time go by, a look at a time.
@@ -76,6 +76,7 @@
 func (d *desk) Start(i int)               { d.say("start %d", i) }
 func (d *desk) Stop(i int)                { d.say("stop %d", i) }
 func (d *desk) Call(i int, p float64)     { d.say("call %d, patience %.2f", i, p) }
+func (d *desk) Skip(i int)                { d.say("skip %d's call", i) }
 func (d *desk) Abort(i int)               { d.say("abort %d", i) }
 func (d *desk) Remember(i int, s float64) { d.say("remember %d for %.2f", i, s) }
 func (d *desk) Forget(i int)              { d.say("forget %d", i) }
--- a/logic/health.go
+++ b/logic/health.go
@@ -8,8 +8,8 @@
 // Health, and connections that are idle.
 
 // checkHealth says so to health checks while cores are taken and nothing has ended well for two of the
-// tightest latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as
-// a whole loses nothing by an empty list. It could harm where most RPCs take longer; the first to end well
+// tightest latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as a
+// whole loses nothing by an empty list. It could harm where most RPCs take longer; the first to end well
 // takes it back.
 func (m *Module) checkHealth() {
 	hung := m.count[running]+m.count[adrift] > 0 && m.now-m.well > 12*m.dt
--- a/logic/hold.go
+++ b/logic/hold.go
@@ -8,8 +8,8 @@
 // Which one goes by criticality over the share of its method that has lately been ok, so that no method
 // starves; among equals it is the one that has just come.
 //
-// What waits for a limit common to several app servers is a queue of its own, with the same mark: it says nothing of the
-// cores, and is no reason to refuse what does not need that limit.
+// What waits for a limit common to several app servers is a queue of its own, with the same mark: it says
+// nothing of the cores, and is no reason to refuse what does not need that limit.
 func (m *Module) shed(i int) {
 	queue := 0
 	if m.rpcs[i].state == held && m.lacks(i) {
@@ -31,9 +31,9 @@
 
 func (m *Module) value(i int) float64 {
 	// Below one in ten all methods are starved alike.
-	method := m.rpcs[i].method
-	r := &m.records[method]
-	return m.Methods[method].Criticality / max((r.ok+1)/(r.asked+1), 0.1)
+	w := &m.rpcs[i]
+	r, worth := &m.records[w.method], m.worth(w.tenant)*float64(1+w.leads)*m.Methods[w.method].Criticality
+	return worth / max((r.ok+1)/(r.asked+1), 0.1)
 }
 
 // swamped tells whether so many are turned away that another app server would most likely do the same. Then
@@ -59,11 +59,11 @@
 
 // goodUntil is when an answer stops being worth its full criticality.
 func (m *Module) goodUntil(w *work) float64 {
-	return min(w.asked+m.Methods[w.method].Target, w.due-margin)
+	return min(max(w.asked+m.Methods[w.method].Target, w.wanted), w.due-margin)
 }
 
-// hopeless tells whether a held RPC would come too late even if it were started now. While half the cores
-// are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
+// hopeless tells whether a held RPC would come too late even if it were started now. While half the cores are
+// free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
 	if r := &m.records[w.method]; r.givenUp >= 4 {
@@ -116,7 +116,7 @@
 		m.records[w.method].late.add(m.now - w.began)
 		m.move(i, adrift)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
-		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened {
+		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened && w.leads == 0 {
 			m.do.Stop(i)
 		}
 	case stalled, calling:
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1,8 +1,8 @@
 // Package logic holds every decision of an app server: what it takes, in which order, what it turns away.
 //
-// A caller makes one Module for each app server with New and tells it what happens: Arrive, Ended,
-// NeedsCall, Called, CallerGone, Leave and Tick, each with the time in seconds. The module answers at once
-// by calling rpc.Actions, where its interface is defined. It runs in one goroutine and keeps no globals.
+// A caller makes one Module for each app server with New and tells it what happens: Arrive, Ended, NeedsCall,
+// Called, CallerGone, Leave and Tick, each with the time in seconds. The module answers at once by calling
+// rpc.Actions, where its interface is defined. It runs in one goroutine and keeps no globals.
 //
 // The ordinary path is Breakwater's, see docs/design.md: the pool of credit follows the oldest held RPC's
 // delay, every answer carries the credit, and arrivals are refused while that delay passes the mark.
@@ -28,6 +28,7 @@
 	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
 	callers             []caller
 	records             []record
+	tenants             []float64 // RPCs of each over the last ten seconds or so
 	halved              float64
 	arrived, refused    float64 // of late
 	further             float64
@@ -36,14 +37,15 @@
 	pool, credit, said  float64
 	full                bool // some caller had its full credit out since the last update
 	updated             float64
-	gaps                hist    // for which callers have nothing here between two RPCs
-	reap                float64 // idle connections are closed after it, 0 for never
-	over                float64 // since when the delay has stood past the mark, 0 if it does not
-	newest              bool    // the hold has stood full for a while
-	limit               float64 // of RPCs on the cores
-	beside              float64 // what else needs a core, of late: reading, new connections
-	gauge               int     // where that gauge stands, -1 if there is none
-	callLimit, nextCall float64 // calls at a time; when the next past the whole share may start
+	gaps                hist         // for which callers have nothing here between two RPCs
+	reap                float64      // idle connections are closed after it, 0 for never
+	over                float64      // since when the delay has stood past the mark, 0 if it does not
+	newest              bool         // the hold has stood full for a while
+	limit               float64      // of RPCs on the cores
+	beside              float64      // what else needs a core, of late: reading, new connections
+	gauge               int          // where that gauge stands, -1 if there is none
+	callLimit, nextCall float64      // calls at a time; when the next past the whole share may start
+	extras              [][2]float64 // from when until when calls past the whole share were out, of late
 	callTook            hist
 	callBest            float64 // the best median of late
 	well                float64 // when a run last ended well, or the first one began
@@ -52,12 +54,12 @@
 	noticed, stop       float64
 }
 
-// tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a
-// second cost next to nothing. margin is kept before a due time: two looks, should one be late.
+// tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a second
+// cost next to nothing. margin is kept before a due time: two looks, should one be late.
 const tick, margin = 0.02, 2 * 0.02
 
-// New starts the module of an app server that has just come up. What the charter lacks, or has at zero,
-// gets the mildest meaning that keeps the rules.
+// New starts the module of an app server that has just come up. What the charter lacks, or has at zero, gets
+// the mildest meaning that keeps the rules.
 func New(now float64, c rpc.Charter, do rpc.Actions) *Module {
 	m := &Module{Charter: c, do: do, now: now, started: now, updated: now, halved: now}
 	m.Machine.Cores = max(c.Machine.Cores, 1)
@@ -74,6 +76,7 @@
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
+	m.tenants = make([]float64, len(c.Tenants))
 	m.Methods = slices.Clone(c.Methods)
 	tightest := 60.0 // should no method have a latency target
 	for k := range m.Methods {
@@ -99,8 +102,8 @@
 	return m
 }
 
-// Boot takes note of when the machine came up, +Inf while it has not, and whether cold. What was believed before of what it
-// can bear does not count any more.
+// Boot takes note of when the machine came up, +Inf while it has not, and whether cold. What was believed
+// before of what it can bear does not count any more.
 func (m *Module) Boot(now, at float64, cold bool) {
 	m.now, m.started, m.Machine.Cold = now, at, cold
 	m.limit = min(m.cores(), m.survivable())
@@ -108,10 +111,11 @@
 	m.publish()
 }
 
-// Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; due
-// is 0 where they do not tell how long they wait; repeats is the RPC that this repeats, rpc.None or rpc.Gone.
-func (m *Module) Arrive(now float64, i, method, from int, lay float64, further bool, due, kb float64,
-	repeats int) {
+// Arrive takes note of an RPC that has been read. further marks a further try, where callers mark them; reads
+// one that only reads, of a known subject; due is 0 where callers do not tell how long they wait; repeats is
+// the RPC that this repeats, rpc.None or rpc.Gone.
+func (m *Module) Arrive(now float64, i, method, from, tenant int, lay float64, further, reads bool,
+	due, kb float64, repeats int) {
 	m.now = now
 	m.rpcs = append(m.rpcs, make([]work, max(i+1-len(m.rpcs), 0))...)
 	never := caller{heard: math.Inf(-1), idle: math.Inf(-1)}
@@ -122,7 +126,11 @@
 		return
 	}
 	w := &m.rpcs[i]
-	*w = work{method: method, caller: from, arrival: now - lay, asked: now - lay, due: due, kb: kb}
+	*w = work{method: method, caller: from, tenant: tenant, arrival: now - lay, asked: now - lay, due: due,
+		kb: kb, reads: reads && m.Machine.Fresh > 0 && m.Methods[method].Kind == rpc.Idempotent}
+	if tenant < len(m.tenants) {
+		m.tenants[tenant]++
+	}
 	if further {
 		w.asked -= m.walked
 		m.further++
@@ -146,10 +154,14 @@
 	case repeats != rpc.None && (pastGrace || now > w.due-margin):
 		m.do.Abort(i) // the RPC that it repeats may have been run, so this is no refusal
 		m.move(i, absent)
-	case repeats >= 0 && m.rpcs[repeats].state == held:
+	case repeats >= 0 && m.rpcs[repeats].state == held && !w.reads:
 		m.takeOver(i, repeats)
 	case repeats != rpc.None:
-		m.do.Follow(i) // a token that was run, or is not known any more, is never run again
+		m.do.Follow(i)    // a token that was run, or is not known any more, is never run again
+		if repeats >= 0 { // whose answer is wanted the more
+			m.rpcs[repeats].leads++
+			m.rpcs[repeats].wanted = max(m.rpcs[repeats].wanted, m.goodUntil(w))
+		}
 		m.move(i, following)
 	case pastGrace, now > w.due-margin, m.hopeless(w), w.kb*m.Machine.RunFactor > m.room(),
 		m.Methods[method].Kind == rpc.Tokened && m.keyKB() > m.room()/2: // the other half is for work
@@ -215,8 +227,8 @@
 	m.pump()
 }
 
-// Leave takes note that the process will be stopped at the given time. All is answered half a second
-// before, should the cores stand still for a moment then.
+// Leave takes note that the process will be stopped at the given time. All is answered half a second before,
+// should the cores stand still for a moment then.
 func (m *Module) Leave(now, at float64) {
 	m.now = now
 	m.leaving, m.noticed, m.stop = true, now, max(now, at-0.5)
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -1,6 +1,9 @@
 package logic_test
 
 import (
+	"fmt"
+
+	"valveglade/logic"
 	"valveglade/rpc"
 )
 
@@ -270,7 +273,7 @@
 	d.arrive(0, read)
 	d.arrive(1, read)
 	d.arrive(2, read)
-	d.m.Arrive(d.now, 3, read, 0, 0, false, 0, 60, rpc.None)
+	d.m.Arrive(d.now, 3, read, 0, 0, 0, false, false, 0, 60, rpc.None)
 	d.ended(0, rpc.OK)
 	// Output:
 	//   0.00 health true
@@ -358,7 +361,7 @@
 // be pushed back though there is time. What repeats an RPC that turns out never to have run is run itself.
 func Example_takenBack() {
 	d := open(nil)
-	tell := func(i int) { d.m.Arrive(d.now, i, read, 0, 0, false, d.now+3, 20, rpc.None) }
+	tell := func(i int) { d.m.Arrive(d.now, i, read, 0, 0, 0, false, false, d.now+3, 20, rpc.None) }
 	for i := range 5 {
 		tell(i)
 		d.m.CallerGone(d.now, i)
@@ -529,7 +532,7 @@
 	//   0.00 start 1
 	//   0.00 call 0, patience 2.40
 	//   0.00 call 1, patience 1.05
-	//   0.42 call 1, patience 1.05
+	//   0.42 call 1, patience 0.95
 }
 
 // A limit common to several app servers is a queue of its own: what waits for it is passed by others, says nothing of the cores
@@ -555,3 +558,176 @@
 	//   0.42 push back 3, last false, after 0.22
 	//   0.44 start 0
 }
+
+// Reads of one subject share an answer where the settings allow: what comes while one is held or runs, or just after, follows
+// it. One that others wait for is not taken off the cores for its own caller's sake, and is kept before one that nobody else
+// waits for. Where answers may not be shared nothing is remembered.
+func Example_sharedReads() {
+	d := open(func(c *rpc.Charter) { c.Machine.Fresh, c.Machine.Cores = 1, 1 })
+	d.arrive(0, read)
+	d.repeat(1, read, 0)
+	d.m.CallerGone(d.now, 0)
+	d.arrive(2, read)
+	d.repeat(3, read, 2)
+	d.arrive(4, read)
+	d.pass(0.5)
+	d.repeat(5, read, 2)
+	d.arrive(6, page)
+	d.ended(0, rpc.OK)
+	d.ended(1, rpc.OK)
+	d.repeat(7, read, rpc.Gone)
+	fmt.Println("not shared:")
+	d = open(nil)
+	d.arrive(0, read)
+	// Output:
+	//   0.00 health true
+	//   0.00 remember 0 for 2.20
+	//   0.00 start 0
+	//   0.00 follow 1
+	//   0.00 remember 2 for 2.20
+	//   0.00 follow 3
+	//   0.00 remember 4 for 2.20
+	//   0.50 follow 5
+	//   0.50 forget 4
+	//   0.50 push back 4, last false, after 0.30
+	//   0.50 start 2
+	//   0.50 follow 7
+	// not shared:
+	//   0.00 health true
+	//   0.00 start 0
+}
+
+// An answer that keeps a part of its worth without a call goes without one that cannot come in time, or that failed for good;
+// others wait for theirs, or are given up.
+func Example_leftOut() {
+	d := open(func(c *rpc.Charter) {
+		c.Machine.SkipWorth, c.Machine.Calls, c.Machine.CallsOut = []float64{0, 0, 0.5}, []bool{true, false, true}, 9
+	})
+	for i := range 4 {
+		d.arrive(i%2, page)
+		d.m.NeedsCall(d.now, i%2)
+		d.pass(0.2)
+		d.m.Called(d.now, i%2, rpc.OK)
+		d.ended(i%2, rpc.OK)
+	}
+	d.arrive(2, page)
+	d.arrive(3, read)
+	d.pass(1.06)
+	d.m.NeedsCall(d.now, 3)
+	d.pass(1.1)
+	d.m.NeedsCall(d.now, 2)
+	d.ended(2, rpc.OK)
+	d.arrive(4, page)
+	d.m.NeedsCall(d.now, 4)
+	d.m.Called(d.now, 4, rpc.Error)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 call 0, patience 2.40
+	//   0.20 start 1
+	//   0.20 call 1, patience 2.40
+	//   0.40 start 0
+	//   0.40 call 0, patience 2.40
+	//   0.60 start 1
+	//   0.60 call 1, patience 2.40
+	//   0.80 start 2
+	//   0.80 start 3
+	//   1.86 call 3, patience 0.14
+	//   2.02 push back 3, last true, after 0.00
+	//   2.96 skip 2's call
+	//   2.96 start 4
+	//   2.96 call 4, patience 2.40
+	//   2.96 skip 4's call
+}
+
+// meter follows for how long calls are out.
+type meter struct {
+	*desk
+	outs    [][2]float64
+	ids     map[int]int
+	started []int
+	over    []int // answered; their runs have still to end
+
+	patience float64 // of the last call; no two are out
+}
+
+func (m *meter) Start(i int)                       { m.started = append(m.started, i) }
+func (m *meter) PushBack(i int, _ bool, _ float64) { m.over = append(m.over, i) }
+
+func (m *meter) Call(i int, patience float64) {
+	m.ids[i] = len(m.outs)
+	m.outs = append(m.outs, [2]float64{m.now, m.now + patience + 0.2})
+	m.patience = patience
+}
+
+// A share below one, all of it wanted, calls of all lengths: over no span is more of it used than it is, wherever the span begins;
+// and most of it is. Gaps that keep the mean alone pass it.
+func Example_shareOverSpan() {
+	const share = 0.5
+	d := &meter{desk: &desk{now: 100, reaps: true}, ids: map[int]int{}}
+	c := rpc.Charter{Methods: []rpc.Method{{Kind: rpc.Idempotent, Target: 60, Deadline: 90, Criticality: 1}},
+		Machine: rpc.Machine{Below: "one_for_all", Calls: []bool{true}, CallsOut: share, CallsSpan: 5, Linger: 0.2, Cores: 4,
+			MemoryKB: 1e6, RunFactor: 1, Signal: rpc.Allowance}}
+	d.m = logic.New(d.now, c, d)
+	next := 0
+	for k := range 6000 {
+		if k%10 == 0 { // more than the share bears
+			d.arriveAs(next, 0, 0, 0, rpc.None)
+			next++
+		}
+		for _, i := range d.over {
+			d.ended(i, rpc.Cancelled)
+		}
+		d.over = nil
+		for len(d.started) > 0 {
+			i := d.started[0]
+			d.started = d.started[1:]
+			d.m.NeedsCall(d.now, i)
+		}
+		for i, at := range d.ids {
+			switch took := d.now - d.outs[at][0]; {
+			case took >= 0.1+0.1*float64(i*7%13):
+				d.outs[at][1] = d.now
+				delete(d.ids, i)
+				d.m.Called(d.now, i, rpc.OK)
+				d.ended(i, rpc.OK)
+			case took >= d.patience-1e-9:
+				d.outs[at][1] = d.now + 0.2
+				delete(d.ids, i)
+				d.m.Called(d.now, i, rpc.TimedOut)
+			}
+		}
+		d.pass(0.02)
+	}
+	most, all := 0.0, 0.0
+	for _, from := range d.outs {
+		used := 0.0
+		for _, o := range d.outs {
+			used += max(min(o[1], from[0]+5)-max(o[0], from[0]), 0)
+		}
+		most = max(most, used/5)
+		all += min(from[1], d.now) - from[0]
+	}
+	fmt.Println("within the share:", most <= share+1e-6, "most of it used:", all/(d.now-100) > 0.8*share)
+	// Output:
+	// within the share: true most of it used: true
+}
+
+// Tenants: the one past its share goes first, whichever came last; within their shares all are alike.
+func Example_tenants() {
+	d := open(func(c *rpc.Charter) {
+		c.Tenants, c.Replicas, c.OverShareWorth = []rpc.Tenant{{Quota: 1}, {Quota: 1}}, 10, 0.1
+		c.Machine.Cores = 1
+	})
+	tell := func(i, tenant int) { d.m.Arrive(d.now, i, read, 0, tenant, 0, false, false, 0, 20, rpc.None) }
+	tell(0, 1)
+	for i := range 6 {
+		tell(1+i, 0)
+	}
+	d.pass(0.5)
+	tell(7, 1)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.50 push back 1, last false, after 0.30
+}
--- a/logic/measure.go
+++ b/logic/measure.go
@@ -9,6 +9,9 @@
 
 func (m *Module) halve() {
 	m.halved = m.now
+	for k := range m.tenants {
+		m.tenants[k] *= tenantsKept
+	}
 	m.callTook.halve()
 	m.callBest *= 1.02 // forgotten over minutes
 	m.arrived, m.refused, m.further = m.arrived/2, m.refused/2, m.further/2
@@ -19,6 +22,20 @@
 	}
 }
 
+// tenantsKept is left of tenants' counts after a span: one with an RPC a second is known by a dozen.
+const tenantsKept = 0.85
+
+// worth is what an RPC of a tenant is worth in the mean, 1 within its share, as far as that is this server's.
+// Further tries count too: they swell all tenants alike.
+func (m *Module) worth(tenant int) float64 {
+	if tenant >= len(m.tenants) {
+		return 1
+	}
+	share := m.Tenants[tenant].Quota / float64(max(m.Replicas, 1))
+	part := min(share/max(m.tenants[tenant]*(1-tenantsKept)/span, 1e-9), 1)
+	return part + (1-part)*m.OverShareWorth
+}
+
 // hist counts times in a few coarse bins, each half as long again as the one before, from 20 ms to 30 s.
 type hist struct {
 	bins [20]float64
--- a/logic/pool.go
+++ b/logic/pool.go
@@ -20,9 +20,8 @@
 	} else if m.full {
 		m.pool += max(alpha*heard, 1)
 	}
-	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below
-	// that callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it
-	// more.
+	// What runs at once, and half as much held for the gaps, is bearable whatever the delay says: below that
+	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it more.
 	m.pool = max(m.pool, 1.5*m.limit)
 	m.full = false
 	m.publish()
--- a/logic/running.go
+++ b/logic/running.go
@@ -18,12 +18,12 @@
 	return max(1, 0.9*m.cores()*(1+(m.Rules.Crowd-1)*m.warmth()))
 }
 
-// pump starts held RPCs while the limits leave room: oldest first, newest first once the hold has stood
-// full for a while.
+// pump starts held RPCs while the limits leave room: oldest first, newest first once the hold has stood full
+// for a while.
 func (m *Module) pump() {
 	for k := 0; k < len(m.hold); {
 		on := m.count[running] + m.count[adrift]
-		off := m.count[stalled] + m.count[calling] + m.count[closing]
+		off := m.off()
 		if float64(on+1) > m.limit || float64(on+off+1) > m.survivable() {
 			return
 		}
@@ -36,7 +36,7 @@
 		switch {
 		case m.hopeless(w):
 			m.giveUp(i)
-		case m.memory()+w.kb*(m.Machine.RunFactor-1) > m.room(), calls && off >= waitsPerCore*m.Machine.Cores:
+		case m.memory()+w.kb*(m.Machine.RunFactor-1) > m.room(), calls && off >= m.waits():
 			k++
 		case m.lacks(i):
 			k++
@@ -51,8 +51,8 @@
 	}
 }
 
-// lacks tells whether a held RPC waits for a limit that is common to several app servers, whatever the cores say. Others
-// are started past it.
+// lacks tells whether a held RPC waits for a limit that is common to several app servers, whatever the cores
+// say. Others are started past it.
 func (m *Module) lacks(i int) bool {
 	w := &m.rpcs[i]
 	w.short = m.do.Short(w.method)
--- a/logic/states.go
+++ b/logic/states.go
@@ -24,12 +24,16 @@
 // work is one RPC in hand.
 type work struct {
 	state                 state
-	method, caller, tries int     // tries of the call in need
+	method, caller, tries int // tries of the call in need
+	tenant                int
 	short                 int     // the limit common to the fleet that it waits for, 0 for none
 	arrival, asked        float64 // here, and its first try, as far as can be told
 	due, kb               float64
 	began, dialed         float64 // when it was started, and its call placed
 	extra, told           bool    // its call is past the whole part of the share; its caller told its due
+	reads                 bool    // others may share its answer
+	leads                 int     // RPCs that came to share it
+	wanted                float64 // until when the last of them wants it
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
--- a/logic/tokens.go
+++ b/logic/tokens.go
@@ -8,8 +8,7 @@
 
 // Tokens, and the memory that they and RPCs take.
 
-// takeOver puts a further try in the place of a held one: the caller has most likely given up on the
-// earlier.
+// takeOver puts a further try in the place of a held one: the caller has most likely given up on the earlier.
 func (m *Module) takeOver(i, earlier int) {
 	e, w := &m.rpcs[earlier], &m.rpcs[i]
 	m.dropKey(e) // its entry goes over to the further try
@@ -24,7 +23,13 @@
 // passed.
 func (m *Module) remember(i int) {
 	w := &m.rpcs[i]
-	if method := &m.Methods[w.method]; method.Kind == rpc.Tokened {
+	method := &m.Methods[w.method]
+	if w.reads {
+		// Until it should have been answered, and while its answer is fresh after that.
+		w.key = m.now + min(method.Target, w.due-m.now) + m.Machine.Fresh
+		m.keys = append(m.keys, w.key)
+		m.do.Remember(i, w.key-m.now)
+	} else if method.Kind == rpc.Tokened {
 		w.key = m.now + method.Window + tick // the window counts from its arrival, which was before
 		m.keys = append(m.keys, w.key)
 		m.do.Remember(i, w.key-m.now)
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -58,10 +58,13 @@
 
 // Charter is what an app server is told when it starts.
 type Charter struct {
-	Methods []Method `json:"profiles"`
-	Machine Machine  `json:"domain"`
-	Rules   Rules    `json:"rules"`
-	Clients struct {
+	Methods        []Method `json:"profiles"`
+	Machine        Machine  `json:"domain"`
+	Rules          Rules    `json:"rules"`
+	Tenants        []Tenant `json:"accounts"`
+	OverShareWorth float64  `json:"overShareWorth"` // of an RPC past its tenant's share
+	Replicas       int      `json:"replicasOfMe"`
+	Clients        struct {
 		MarksRetry bool `json:"marksRetry"`
 	} `json:"clients"`
 	Ceilings struct {
@@ -70,11 +73,17 @@
 	} `json:"ceilings"`
 }
 
+// Tenant is one of those that share the fleet.
+type Tenant struct {
+	Quota float64 `json:"quotaRps"` // RPCs a second over the whole fleet
+}
+
 // Machine is the app server itself and what it calls.
 type Machine struct {
 	Below      string     `json:"below"`
 	Callers    int        `json:"callers"`
 	Calls      []bool     `json:"callsByClass"`
+	SkipWorth  []float64  `json:"classSkipWorth"`
 	CallsOut   float64    `json:"callsOut"`
 	CallsSpan  float64    `json:"shareSpanS"`
 	Linger     float64    `json:"lingerS"`
@@ -83,6 +92,7 @@
 	Gauges     []string   `json:"ownStats"`
 	KeepAlive  float64    `json:"keepaliveMaxS"`
 	EntryKB    float64    `json:"entryKb"`
+	Fresh      float64    `json:"freshS"`
 	MemoryKB   float64    `json:"memoryKb"`
 	RunFactor  float64    `json:"runFactor"`
 	Preemption Preemption `json:"preemption"`
@@ -111,6 +121,8 @@
 	Start(i int)
 	Stop(i int)
 	Call(i int, patience float64)
+	// Skip lets an RPC go on without the call that it waits for.
+	Skip(i int)
 	PushBack(i int, last bool, after float64)
 	Abort(i int)
 	Remember(i int, span float64)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -21,8 +21,8 @@
 // Events is told what a batch holds, record by record.
 type Events interface {
 	Hello(who uint32, seed uint64, params []byte) error
-	Order(who uint32, handle uint64, lay float64, further bool, repeats uint64, due float64,
-		from uint16, kb float64, class uint16)
+	Order(who uint32, handle uint64, lay float64, further, reads bool, repeats uint64, due float64,
+		from uint16, tenant uint32, kb float64, class uint16)
 	WoundUp(who uint32, handle uint64, result uint16, took float64)
 	Stalled(who uint32, handle uint64)
 	Downstream(who uint32, handle uint64, result uint16, took float64)
@@ -84,8 +84,8 @@
 				return err
 			}
 		case 2:
-			ev.Order(who, u64(b, 5), f64(b, 13), b[21]&2 != 0, u64(b, 34), f64(b, 42),
-				binary.BigEndian.Uint16(b[58:]), f32(b, 64), binary.BigEndian.Uint16(b[68:]))
+			ev.Order(who, u64(b, 5), f64(b, 13), b[21]&2 != 0, b[21]&4 == 0 && u64(b, 50) != 0, u64(b, 34), f64(b, 42),
+				binary.BigEndian.Uint16(b[58:]), binary.BigEndian.Uint32(b[60:]), f32(b, 64), binary.BigEndian.Uint16(b[68:]))
 		case 3:
 			ev.WoundUp(who, u64(b, 5), binary.BigEndian.Uint16(b[13:]), f64(b, 15))
 		case 4:
@@ -142,6 +142,7 @@
 func (r *Reply) Take(who uint32, h uint64)      { r.named(1, who, h) }
 func (r *Reply) Fail(who uint32, h uint64)      { r.named(3, who, h) }
 func (r *Reply) Interrupt(who uint32, h uint64) { r.named(4, who, h) }
+func (r *Reply) Skip(who uint32, h uint64)      { r.named(6, who, h) }
 func (r *Reply) Evict(who uint32, h uint64)     { r.named(8, who, h) }
 func (r *Reply) Join(who uint32, h uint64)      { r.named(9, who, h) }
 
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -15,10 +15,10 @@
 	return nil
 }
 
-func (spy) Order(who uint32, handle uint64, lay float64, further bool, repeats uint64, due float64, from uint16,
-	kb float64, class uint16) {
-	fmt.Printf("order %d %x lay %.4f further %v repeats %x due %.3f from %d %.1f kB class %d\n",
-		who, handle, lay, further, repeats, due, from, kb, class)
+func (spy) Order(who uint32, handle uint64, lay float64, further, reads bool, repeats uint64, due float64, from uint16,
+	tenant uint32, kb float64, class uint16) {
+	fmt.Printf("order %d %x lay %.4f further %v reads %v repeats %x due %.3f from %d tenant %d %.1f kB class %d\n",
+		who, handle, lay, further, reads, repeats, due, from, tenant, kb, class)
 }
 
 func (spy) WoundUp(who uint32, handle uint64, result uint16, took float64) {
@@ -77,7 +77,7 @@
 		"09 00000003"))
 	// Output:
 	// hello 3 seed 9 {}
-	// order 3 a4b7f5d3a91c4 lay 0.0019 further false repeats 36ff20e6f2b19 due 8.652 from 17 24.5 kB class 2
+	// order 3 a4b7f5d3a91c4 lay 0.0019 further false reads true repeats 36ff20e6f2b19 due 8.652 from 17 tenant 0 24.5 kB class 2
 	// wound up 3 a4b7f5d3a91c4 200 0.0185
 	// stalled 3 a4b7f5d3a91c4
 	// downstream 3 a4b7f5d3a91c4 504 0.08
