Refuse or abort what would follow another RPC once there is no memory left

Ruled out: keys (12 of some 30 kB are counted), what runs (pump asks for the room). At fault: Arrive, whose Follow never asked for memory: few RPCs repeated another before, so nothing showed it, and tokened ones had the same hole. Now a read finds no room as any other RPC does, and makes room or is refused; the repeat of a token is aborted, as what it repeats may have run. It cannot come back: every way into the hold but these two asks already, and pump asks before a start. Example_followersFill follows on without the change.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -151,12 +151,12 @@
 	m.full = m.full || float64(m.callers[from].out) >= m.credit
 	pastGrace := m.leaving && w.arrival > m.noticed+m.Rules.Grace // rule 3: it is not run
 	switch {
-	case repeats != rpc.None && (pastGrace || now > w.due-margin):
+	case repeats != rpc.None && (pastGrace || now > w.due-margin || !w.reads && m.memory() > m.room()):
 		m.do.Abort(i) // the RPC that it repeats may have been run, so this is no refusal
 		m.move(i, absent)
 	case repeats >= 0 && m.rpcs[repeats].state == held && !w.reads:
 		m.takeOver(i, repeats)
-	case repeats != rpc.None:
+	case repeats != rpc.None && m.memory() <= m.room():
 		m.do.Follow(i)    // a token that was run, or is not known any more, is never run again
 		if repeats >= 0 { // whose answer is wanted the more
 			m.rpcs[repeats].leads++
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -731,3 +731,39 @@
 	//   0.00 start 0
 	//   0.50 push back 1, last false, after 0.30
 }
+
+// What follows takes memory too, and waits as long as what it follows: once there is none left a read is refused or has another
+// make room, and the repeat of a token is aborted, as what it repeats may have run.
+func Example_followersFill() {
+	d := open(func(c *rpc.Charter) { c.Machine.Fresh, c.Machine.Cores, c.Machine.MemoryKB = 1, 1, 200 })
+	d.arrive(0, read)
+	for i := range 6 {
+		d.repeat(1+i, read, 0)
+	}
+	d = open(func(c *rpc.Charter) { c.Machine.Cores, c.Machine.MemoryKB = 1, 200 })
+	d.arrive(0, write)
+	for i := range 6 {
+		d.repeat(1+i, write, 0)
+	}
+	// Output:
+	//   0.00 health true
+	//   0.00 remember 0 for 2.20
+	//   0.00 start 0
+	//   0.00 follow 1
+	//   0.00 follow 2
+	//   0.00 follow 3
+	//   0.00 follow 4
+	//   0.00 follow 5
+	//   0.00 remember 6 for 2.20
+	//   0.00 forget 6
+	//   0.00 push back 6, last false, after 0.00
+	//   0.00 health true
+	//   0.00 remember 0 for 10.02
+	//   0.00 start 0
+	//   0.00 follow 1
+	//   0.00 follow 2
+	//   0.00 follow 3
+	//   0.00 follow 4
+	//   0.00 follow 5
+	//   0.00 abort 6
+}
