What calls take is known from those that end well alone

Seen, by review with the trouble fast_errors in mind: a call that fails at once counted for how long calls take, so a failing layer below looked quick, its best median with it, and all that came after looked slow. Ruled out: abandoned calls, which never counted. At fault: called, which knew only whether a call was abandoned. Now it is told the outcome. Example_fastFailing dials without it.

--- a/logic/calls.go
+++ b/logic/calls.go
@@ -120,12 +120,12 @@
 // calls at a time, others let them grow. The share is what it survives, not where it works well: crowded, it
 // slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in
 // twenty is that long; harder cuts starved the methods that call.
-func (m *Module) called(w *work, abandoned bool) {
-	took := m.now - w.dialed
+func (m *Module) called(w *work, how rpc.Outcome) {
+	took, abandoned := m.now-w.dialed, how == rpc.TimedOut
 	if abandoned { // it stays in the dependency's hands for a while
 		took += m.Machine.Linger
 		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
-	} else {
+	} else if how == rpc.OK { // one that fails at once tells nothing of how quick it is down there
 		m.callTook.add(took)
 	}
 	if median := m.callTook.median(); median > 0 {
@@ -154,7 +154,7 @@
 	m.now = now
 	if w := &m.rpcs[i]; w.state == calling {
 		m.move(i, stalled)
-		m.called(w, how == rpc.TimedOut)
+		m.called(w, how)
 		again := how.NeverRan() || m.Methods[w.method].Kind == rpc.Idempotent
 		if how == rpc.OK {
 			m.move(i, running)
--- a/logic/hold.go
+++ b/logic/hold.go
@@ -121,7 +121,7 @@
 		}
 	case stalled, calling:
 		if w.state == calling {
-			m.called(w, true)
+			m.called(w, rpc.TimedOut)
 		}
 		m.move(i, closing)
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -190,7 +190,7 @@
 		}
 	}
 	if w.state == calling {
-		m.called(w, true)
+		m.called(w, rpc.TimedOut)
 	}
 	if how == rpc.OK && w.state == running {
 		r := &m.records[w.method]
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -767,3 +767,40 @@
 	//   0.00 follow 5
 	//   0.00 abort 6
 }
+
+// A layer below that fails calls at once is not quick: what its calls take is known from those that end well alone, so that one
+// which would come too late is still left out.
+func Example_fastFailing() {
+	d := open(func(c *rpc.Charter) { c.Machine.SkipWorth, c.Machine.CallsOut = []float64{0, 0, 0.5}, 9 })
+	for range 4 {
+		d.arrive(0, page)
+		d.m.NeedsCall(d.now, 0)
+		d.pass(0.2)
+		d.m.Called(d.now, 0, rpc.OK)
+		d.ended(0, rpc.OK)
+	}
+	d.arrive(1, page)
+	d.reaps = true // nothing printed
+	for range 12 {
+		d.arrive(0, page)
+		d.m.NeedsCall(d.now, 0)
+		d.pass(0.02)
+		d.m.Called(d.now, 0, rpc.Error)
+		d.ended(0, rpc.OK)
+	}
+	d.pass(1.9)
+	d.reaps = false
+	d.m.NeedsCall(d.now, 1)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 call 0, patience 2.40
+	//   0.20 start 0
+	//   0.20 call 0, patience 2.40
+	//   0.40 start 0
+	//   0.40 call 0, patience 2.40
+	//   0.60 start 0
+	//   0.60 call 0, patience 2.40
+	//   0.80 start 1
+	//   2.94 skip 1's call
+}
