--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -804,3 +804,79 @@
 	//   0.80 start 1
 	//   2.94 skip 1's call
 }
+
+// A fleet that grows: this one has just come up cold, and callers move to it as its list spreads. What each is told to have out
+// here follows its warmth and their number, and so does what runs at once.
+func Example_growsCold() {
+	d := open(func(c *rpc.Charter) {
+		c.Machine.Cold, c.Machine.Cores, c.Rules.Crowd, c.Rules.ColdAt, c.Rules.WarmIn = true, 4, 2, 0, 4
+	})
+	d.credits = true
+	for i := range 5 {
+		d.arriveAs(i, page, i, 0, rpc.None)
+	}
+	d.pass(0.5)
+	for i := range 5 {
+		d.ended(i, rpc.OK)
+	}
+	d.pass(4)
+	for i := range 5 {
+		d.arriveAs(5+i, page, i, 0, rpc.None)
+	}
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 start 1
+	//   0.00 start 2
+	//   0.22 credit 2.0
+	//   0.46 start 3
+	//   0.50 start 4
+	//   1.10 credit 4.0
+	//   4.50 start 5
+	//   4.50 start 6
+	//   4.50 start 7
+	//   4.50 start 8
+}
+
+// Callers that never say how long they wait, and are never heard to give up: the deadline after arrival decides, for what is held
+// and what runs.
+func Example_untold() {
+	d := open(func(c *rpc.Charter) { c.Machine.Cores, c.Methods[read].LateShare = 1, 0.2 })
+	d.arrive(0, read)
+	d.arrive(1, write)
+	d.pass(9)
+	// Output:
+	//   0.00 health true
+	//   0.00 start 0
+	//   0.00 remember 1 for 10.02
+	//   1.76 log hold full for a while: true, 1 held
+	//   2.42 forget 1
+	//   2.42 push back 1, last true, after 1.00
+	//   2.42 log hold full for a while: false, 0 held
+	//   2.42 health false
+	//   2.42 log work hangs: true
+	//   3.98 push back 0, last true, after 0.00
+	//   3.98 stop 0
+}
+
+// Remembered tokens take half of the memory: the next tokened RPC is refused, as the other half is for work; reads go on, and
+// once a window has passed so do tokened RPCs.
+func Example_tokensFill() {
+	d := open(func(c *rpc.Charter) { c.Machine.MemoryKB, c.Methods[write].Window = 200, 1 })
+	d.reaps = true // of the first ten nothing is printed
+	for range 10 {
+		d.arrive(0, write)
+		d.ended(0, rpc.OK)
+	}
+	d.reaps = false
+	d.arrive(0, write)
+	d.arrive(0, read)
+	d.pass(1.1)
+	d.arrive(1, write)
+	// Output:
+	//   0.00 health true
+	//   0.00 push back 0, last false, after 0.00
+	//   0.00 start 0
+	//   1.10 remember 1 for 1.02
+	//   1.10 start 1
+}
