--- a/server/end_test.go
+++ b/server/end_test.go
@@ -651,3 +651,53 @@
 	}
 	return all
 }
+
+// A flood of connections: silent ones, half messages, resets, spoilt frames, many times what the descriptors allow. A usual
+// router's RPCs, before, between and on a new connection, are answered; no more connections are open than descriptors allow, but
+// for the few on their way out; and all come back.
+func Example_connectionFlood() {
+	t := openPrepared(func(c *charter.Charter) { c.Sockets = reserve + 8 }, zap.NewNop(), func(s *Server) { s.idle = time.Hour })
+	t.linkUp()
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	most := 0
+	var flood []net.Conn
+	for k := range 160 {
+		bad := t.dial()
+		flood = append(flood, bad)
+		switch k % 4 {
+		case 0: // says nothing
+		case 1:
+			fmt.Fprint(bad, "\x00\x00\x00\x40half")
+		case 2:
+			fmt.Fprint(bad, "\x00\x00\x00\x40half")
+			bad.Conn.(*net.TCPConn).SetLinger(0)
+			bad.Close()
+		case 3:
+			fmt.Fprint(bad, "\xff\xff\xff\xffspoilt")
+		}
+		most = max(most, len(t.connections()))
+	}
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	// Half messages and silence have their bound; then there is room, whatever the flood left open.
+	until("room", func() bool { return len(t.connections()) <= 1 })
+	other := t.dial()
+	other.execute(2)
+	t.asked()
+	t.reap(2, "fine", "two")
+	other.hear(1)
+	fmt.Println("within bounds:", most <= 8+mostGoing)
+	for _, c := range flood {
+		c.Close()
+	}
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "two" good 1
+	// within bounds: true
+	// served: <nil>
+}
