--- /dev/null
+++ b/rig/drawn/settings.go
@@ -0,0 +1,379 @@
+package drawn
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+)
+
+// Settings are what differs from a plain deployment, as the platform would write it.
+type Settings struct {
+	Methods []Method `json:"methods"`
+	Keys    []Key    `json:"keys,omitempty"`
+}
+
+// Method is one method, its figures as the JSON text of the configuration: empty where the key is left out.
+type Method struct {
+	Name     string  `json:"name"`
+	Effect   string  `json:"effect"` // retryable, dedup or fragile
+	Target   string  `json:"target,omitempty"`
+	Deadline string  `json:"deadline,omitempty"`
+	Window   string  `json:"window,omitempty"`
+	Worth    string  `json:"worth,omitempty"`
+	Late     string  `json:"late,omitempty"`
+	Stretch  string  `json:"stretch,omitempty"`
+	Calls    bool    `json:"calls,omitempty"` // its RPCs may call the layer below
+	Work     float64 `json:"work"`            // seconds on a core, on the mean
+}
+
+// Key is one key of the configuration, by its path, and its JSON text: empty where the key is left out.
+type Key struct {
+	Path string `json:"path"`
+	Text string `json:"text"`
+}
+
+// Addresses are what each app server is told of its own.
+type Addresses struct {
+	Name, Listen, Kernel, Roster string
+}
+
+// plainKeys are the keys of a deployment without anything uncommon, in the order in which they are written.
+var plainKeys = []Key{
+	{"seed", `"8c1f30d27a5be964"`},
+	{"stop_ms", "2500"},
+	{"limits.cores", "1.0"}, {"limits.memory_mb", "192"}, {"limits.sockets", "1024"},
+	{"settings.accounts", "[]"},
+	{"settings.ceilings.cpuUsPerRequest", "0.0"}, {"settings.ceilings.cpuUsPerS", "60000"},
+	{"settings.ceilings.maxRetryAfterS", "1.0"}, {"settings.ceilings.retryAfter", "true"},
+	{"settings.clients.marksRetry", "false"},
+	{"settings.countedBy", `"request"`},
+	{"settings.domain.below", `"none"`}, {"settings.domain.callers", "4"}, {"settings.domain.callsOut", "0.0"},
+	{"settings.domain.deepChecks", "false"}, {"settings.domain.entryKb", "1.0"}, {"settings.domain.freshS", "0.0"},
+	{"settings.domain.hangupSeen", "true"}, {"settings.domain.heededS", "1.0"}, {"settings.domain.justStarted", "false"},
+	{"settings.domain.keepaliveMaxS", "30.0"}, {"settings.domain.lingerS", "0.2"}, {"settings.domain.memoryKb", "64000.0"},
+	{"settings.domain.nCores", "4"},
+	{"settings.domain.ownStats", `["core_use","on_cores","heap_share","links"]`},
+	{"settings.domain.passesDeadline", "true"}, {"settings.domain.preemption", `"discard"`},
+	{"settings.domain.readiness", "true"}, {"settings.domain.runFactor", "4.0"}, {"settings.domain.shareSpanS", "5.0"},
+	{"settings.domain.signal", `"allowance"`},
+	{"settings.family", `"server"`},
+	{"settings.goal", `{"whole":0.65,"worstClass":0.2,"worstTenant":0.0,"worstWindow":0.15}`},
+	{"settings.me", "1"}, {"settings.overShareWorth", "0.1"},
+	{"settings.penalties", `{"connection":0.0,"handshake":0.0,"lateFail":0.08,"origin":0.0,"waste":0.04}`},
+	{"settings.replicasOfMe", "5"},
+	{"settings.report", `{"fields":["throughput","utilization"],"how":"probe"}`},
+	{"settings.rules.fallS", "1.5"}, {"settings.rules.graceToAnswerS", "0.08"}, {"settings.rules.overloadFactor", "5.0"},
+	{"settings.rules.rampTimeS", "18.0"}, {"settings.rules.startCapacity", "0.2"}, {"settings.rules.stopSendingWithinS", "1.0"},
+	{"settings.tickS", "0.004"}, {"settings.tier", "0"}, {"settings.tiers", `["servers"]`},
+	{"settings.zone", "0"}, {"settings.zones", `["zone"]`},
+}
+
+// PlainMethod is a method without anything uncommon.
+func PlainMethod() Method {
+	return Method{Name: "look", Effect: "retryable", Target: "0.5", Deadline: "1.0", Window: "5.0", Worth: "1.0", Late: "0.0", Work: 0.005}
+}
+
+// Config is the whole configuration of one app server, as JSON text.
+func (s Settings) Config(at Addresses) string {
+	root := &object{}
+	root.set([]string{"name"}, quote(at.Name, true))
+	root.set([]string{"listen"}, quote(at.Listen, true))
+	root.set([]string{"kernel"}, quote(at.Kernel, true))
+	root.set([]string{"roster"}, quote(at.Roster, true))
+	for _, k := range plainKeys {
+		root.set(strings.Split(k.Path, "."), k.Text)
+	}
+	root.set([]string{"settings", "profiles"}, s.profiles())
+	if calls, any := s.calls(); any {
+		root.set([]string{"settings", "domain", "callsByClass"}, calls)
+	}
+	for _, k := range s.Keys {
+		root.set(strings.Split(k.Path, "."), k.Text)
+	}
+	return root.text()
+}
+
+func (s Settings) profiles() string {
+	var all []string
+	for k, m := range s.Methods {
+		one := &object{}
+		for _, field := range []Key{{"deadlineS", m.Deadline}, {"idempotency", quote(m.Effect, true)}, {"lateWorth", m.Late},
+			{"name", quote(m.Name, k%2 == 0)}, {"onTimeS", m.Target}, {"windowS", m.Window}, {"worth", m.Worth}, {"aimStretch", m.Stretch}} {
+			one.set([]string{field.Path}, field.Text)
+		}
+		all = append(all, one.text())
+	}
+	return "[" + strings.Join(all, ",") + "]"
+}
+
+func (s Settings) calls() (text string, any bool) {
+	var all []string
+	for _, m := range s.Methods {
+		all = append(all, fmt.Sprint(m.Calls))
+		any = any || m.Calls
+	}
+	return "[" + strings.Join(all, ",") + "]", any
+}
+
+// quote is a JSON string; <, > and & are escaped or stand as they are.
+func quote(s string, escape bool) string {
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(escape)
+	encoder.Encode(s)
+	return strings.TrimSpace(out.String())
+}
+
+// object is a JSON object whose keys keep their order.
+type object struct {
+	keys   []string
+	leaves map[string]string
+	inner  map[string]*object
+}
+
+// set writes a key, or leaves it out for an empty text.
+func (o *object) set(path []string, text string) {
+	if o.leaves == nil {
+		o.leaves, o.inner = map[string]string{}, map[string]*object{}
+	}
+	key := path[0]
+	if o.inner[key] == nil && o.leaves[key] == "" && text != "" {
+		o.keys = append(o.keys, key)
+	}
+	if len(path) == 1 {
+		delete(o.inner, key)
+		if o.leaves[key] = text; text == "" {
+			o.remove(key)
+		}
+		return
+	}
+	if o.leaves[key] != "" { // the whole object stands as one text
+		return
+	}
+	if o.inner[key] == nil {
+		if text == "" {
+			return
+		}
+		o.inner[key] = &object{}
+	}
+	o.inner[key].set(path[1:], text)
+}
+
+func (o *object) remove(key string) {
+	delete(o.leaves, key)
+	var kept []string
+	for _, k := range o.keys {
+		if k != key {
+			kept = append(kept, k)
+		}
+	}
+	o.keys = kept
+}
+
+func (o *object) text() string {
+	var all []string
+	for _, k := range o.keys {
+		value := o.leaves[k]
+		if inner := o.inner[k]; inner != nil {
+			value = inner.text()
+		}
+		all = append(all, quote(k, true)+":"+value)
+	}
+	return "{" + strings.Join(all, ",") + "}"
+}
+
+// Told is what the configuration says, with what an absent key means, for whoever plays the app server's surroundings.
+// Times are seconds.
+type Told struct {
+	StopMS   float64 `json:"stop_ms"`
+	Limits   struct{ Cores, MemoryMB, Sockets float64 }
+	Settings struct {
+		Accounts []struct{ Name string }
+		Clients  struct{ MarksRetry bool }
+		Domain   struct {
+			NCores, MemoryKB, RunFactor, EntryKB, FreshS float64
+			Preemption, Signal, Below                    string
+			PassesDeadline, HangupSeen, Readiness        *bool
+			OwnStats                                     []string
+		}
+		Profiles []struct{ OnTimeS, DeadlineS, WindowS float64 }
+		Rules    struct{ StopSendingWithinS, RampTimeS, StartCapacity, FallS, OverloadFactor float64 }
+	}
+}
+
+// Told reads the configuration as a careful reader of the pages would: numbers of any form, null as a key that is left out.
+func (s Settings) Told() (Told, error) {
+	var t Told
+	t.StopMS = 3000
+	text := strings.Replace(s.Config(Addresses{}), `"memory_mb"`, `"memoryMb"`, 1)
+	err := json.Unmarshal([]byte(text), &t)
+	return t, err
+}
+
+// PassesDeadline tells whether RPCs say how long their caller waits; false where the key is absent.
+func (t Told) PassesDeadline() bool {
+	return t.Settings.Domain.PassesDeadline != nil && *t.Settings.Domain.PassesDeadline
+}
+
+// HangupSeen tells whether app servers are told of callers that wait no longer.
+func (t Told) HangupSeen() bool {
+	return t.Settings.Domain.HangupSeen != nil && *t.Settings.Domain.HangupSeen
+}
+
+func drawSettings(chance *rand.Rand) Settings {
+	var s Settings
+	effects := drawEffects(chance)
+	count := 1 + chance.IntN(5)
+	if chance.IntN(4) == 0 {
+		count = 1 + chance.IntN(maxMethods)
+	}
+	names := map[string]bool{}
+	for range count {
+		m := drawMethod(chance, effects)
+		for names[m.Name] {
+			m.Name += string(rune('a' + chance.IntN(26)))
+		}
+		names[m.Name] = true
+		s.Methods = append(s.Methods, m)
+	}
+	seen := map[string]bool{}
+	for _, option := range keyOptions {
+		if chance.Float64() >= option.part {
+			continue
+		}
+		for _, k := range option.draw(chance) {
+			if !seen[k.Path] {
+				seen[k.Path] = true
+				s.Keys = append(s.Keys, k)
+			}
+		}
+		if option.calls {
+			for k := range s.Methods {
+				s.Methods[k].Calls = chance.IntN(2) == 0
+			}
+		}
+	}
+	return s
+}
+
+func drawEffects(chance *rand.Rand) []string {
+	return pick(chance, [][]string{{"retryable"}, {"dedup"}, {"fragile"}, {"retryable", "dedup", "fragile"}, {"retryable", "dedup", "fragile"},
+		{"retryable", "dedup"}, {"dedup", "fragile"}})
+}
+
+// oddNames are names that a careless writer or reader of JSON, Thrift or a log would spoil.
+var oddNames = []string{"x", "plan lookup", `say "when"`, "a<b&c>d", "größe-ändern", "読む", `back\slash`, "tab\tbed", "it's", "op", "{}", "null", "0",
+	"\u2028", strings.Repeat("long-name-", 30), "100%", "a/b?c=d", "é"}
+
+func drawMethod(chance *rand.Rand, effects []string) Method {
+	m := Method{Effect: pick(chance, effects), Worth: number(chance, pick(chance, []float64{0, 0.001, 1, 2, 1000})), Late: number(chance, pick(chance, []float64{0, 0.2, 1}))}
+	if m.Name = fmt.Sprintf("m%d", chance.IntN(1000)); chance.IntN(3) == 0 {
+		m.Name = pick(chance, oddNames)
+	}
+	deadline := pick(chance, []float64{0.02, 0.1, 0.5, 0.5, 1, 1, 2, 2, 5, 30, 600, 7200, 86400})
+	target := deadline * pick(chance, []float64{0.1, 0.5, 0.5, 1})
+	m.Deadline, m.Target = number(chance, deadline), number(chance, target)
+	switch chance.IntN(20) {
+	case 0:
+		m.Deadline = ""
+	case 1:
+		m.Deadline = "0"
+	case 2:
+		m.Deadline = "null"
+	case 3:
+		m.Target = ""
+	case 4:
+		m.Target = "0"
+	}
+	switch {
+	case m.Effect == "dedup":
+		m.Window = number(chance, pick(chance, []float64{0.05, 0.5, 2, 35.121, 3600, 864000}))
+	case chance.IntN(3) == 0:
+		m.Window = pick(chance, []string{"", "null", "0"})
+	default:
+		m.Window = "5.0"
+	}
+	if chance.IntN(5) == 0 {
+		m.Stretch = pick(chance, []string{"0", "1.5", "20", "null"})
+	}
+	m.Work = min(pick(chance, []float64{0.0005, 0.005, 0.005, 0.02, 0.1}), max(deadline, 0.02)/8)
+	if deadline >= 5 && chance.IntN(4) == 0 {
+		m.Work = 0.7
+	}
+	return m
+}
+
+// number writes a number in one of the forms that JSON allows.
+func number(chance *rand.Rand, v float64) string {
+	plain := strings.TrimSuffix(fmt.Sprintf("%.6f", v), "0")
+	switch chance.IntN(4) {
+	case 0:
+		return plain
+	case 1:
+		return fmt.Sprintf("%e", v)
+	}
+	return fmt.Sprintf("%g", v)
+}
+
+// keyOption is something that a deployment may say besides its methods, and in which part of the cases it does.
+type keyOption struct {
+	part  float64
+	draw  func(chance *rand.Rand) []Key
+	calls bool // some methods call the layer below
+}
+
+// texts is an option of one key with some texts.
+func texts(part float64, path string, texts ...string) keyOption {
+	return keyOption{part: part, draw: func(chance *rand.Rand) []Key { return []Key{{path, pick(chance, texts)}} }}
+}
+
+var keyOptions = []keyOption{
+	texts(0.3, "settings.domain.preemption", `"none"`, `"freeze"`, `"freeze"`, ""),
+	texts(0.4, "settings.domain.signal", `"none"`, `"floor"`, `"weight"`),
+	texts(0.2, "settings.domain.passesDeadline", "false", "", "null"),
+	texts(0.2, "settings.domain.hangupSeen", "false", "", "null"),
+	texts(0.2, "settings.domain.readiness", "false", "", "null"),
+	{0.15, func(chance *rand.Rand) []Key {
+		return []Key{{"settings.domain.below", pick(chance, []string{`"one_for_all"`, `"tier"`})}, {"settings.domain.callsOut", pick(chance, []string{"0.5", "12.0"})}}
+	}, true},
+	texts(0.4, "settings.domain.nCores", "1", "1", "2", "6.0", "6e0", "64", "1000"),
+	texts(0.15, "settings.domain.memoryKb", "500", "2e3", "13164.0", "1e9"),
+	texts(0.2, "settings.domain.runFactor", "1", "1.0", "40", "0.5"),
+	texts(0.2, "settings.domain.entryKb", "0", "0.001", "27.8", "300"),
+	texts(0.15, "settings.domain.freshS", "0.5", "60"),
+	texts(0.1, "settings.domain.deepChecks", "true"),
+	texts(0.2, "settings.domain.justStarted", "true", "null"),
+	texts(0.3, "settings.domain.ownStats", `[]`, `["links","heap_share","on_cores","core_use"]`, `["on_cores"]`, `["throughput","on_cores"]`, "null", ""),
+	texts(0.15, "settings.domain.callers", "1", "4.0", "150", "0", "null", ""),
+	texts(0.1, "settings.domain.heededS", "0", "0.05", "3600"),
+	texts(0.1, "settings.domain.keepaliveMaxS", "0.5", "3600", "", "null"),
+	texts(0.1, "settings.domain.lingerS", "0", "100"),
+	texts(0.15, "settings.replicasOfMe", "1", "3.0", "3e0", "300"),
+	texts(0.2, "settings.clients.marksRetry", "true"),
+	{part: 0.2, draw: func(*rand.Rand) []Key {
+		return []Key{{"settings.accounts", `[{"name":"big","quotaRps":40.0,"fraction":0.8},{"name":"small one","quotaRps":0.5,"fraction":0.2}]`}}
+	}},
+	texts(0.1, "settings.overShareWorth", "0", "1"),
+	texts(0.2, "settings.ceilings.retryAfter", "false"),
+	texts(0.2, "settings.ceilings.maxRetryAfterS", "0", "0.01", "60", "1e9"),
+	texts(0.1, "settings.rules.rampTimeS", "0.1", "3", "600", "0", ""),
+	texts(0.1, "settings.rules.startCapacity", "0.01", "1", ""),
+	texts(0.15, "settings.rules.overloadFactor", "1", "1.01", "100"),
+	texts(0.1, "settings.rules.fallS", "0.05", "60"),
+	texts(0.15, "settings.rules.stopSendingWithinS", "0", "0.05", "0.5", "30"),
+	texts(0.2, "limits.memory_mb", "32", "64.0", "4096"),
+	texts(0.2, "limits.sockets", "384", "512.0", "1e6"),
+	texts(0.2, "limits.cores", "0.25", "4", "", "null"),
+	texts(0.25, "stop_ms", "1100", "3.2e3", "3900.0", "60000", ""),
+	texts(0.1, "settings.of_later", `{"a":[1,null,"x"]}`, "null", "7"),
+	texts(0.1, "of_later", `"x"`, "[[]]"),
+	texts(0.1, "settings.domain.of_later", `{"deep":{"deeper":[]}}`, "-1e300"),
+	texts(0.1, "settings.report", "null", ""),
+	texts(0.1, "settings.tiers", `["front","back"]`, "null"),
+	texts(0.05, "settings.goal", "null", ""),
+	texts(0.05, "settings.penalties", "null"),
+	texts(0.05, "settings.me", "null", "17.0"),
+	texts(0.05, "settings.accounts", "null", ""),
+}
