--- /dev/null
+++ b/rig/logpipe_test.go
@@ -0,0 +1,41 @@
+package rig
+
+import (
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A process whose log nobody reads stands still at its next line, and goes on once the log is read again.
+func TestFillLog(t *testing.T) {
+	p, err := Launch(exec.Command("sh", "-c", "while read line; do :; done; while :; do echo line >&2; done"), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	await(t, "a first line", func() bool { return strings.Contains(p.Log(), "line") })
+	if err := p.FillLog(); err != nil {
+		t.Fatal(err)
+	}
+	before := p.CPU()
+	time.Sleep(100 * time.Millisecond)
+	if took := p.CPU() - before; took > 20*time.Millisecond {
+		t.Errorf("it went on for %v", took)
+	}
+	length := len(p.Log())
+	p.ReadLog()
+	await(t, "more lines", func() bool { return len(p.Log()) > length })
+	if strings.ContainsRune(p.Log(), 0) {
+		t.Error("what filled the pipe is in the log")
+	}
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("no %s", what)
+		}
+	}
+}
--- a/rig/process.go
+++ b/rig/process.go
@@ -23,6 +23,7 @@
 	log  bytes.Buffer
 	part []byte       // of a line that is not whole yet
 	tap  func([]byte) // told of each line that it says, if set before the start
+	pipe *logPipe
 }
 
 // spawns are carried out by one thread that never ends: the system kills a child when the thread that started it ends, which
@@ -43,11 +44,16 @@
 
 // run starts a command; over is told of its end, in a goroutine of its own.
 func (p *Process) run(cmd *exec.Cmd, over func(error)) (done chan struct{}, err error) {
-	cmd.Stderr = saying{p}
+	logged, err := p.logTo(cmd)
+	if err != nil {
+		return nil, err
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	started := make(chan error)
 	spawns() <- func() { started <- cmd.Start() }
-	if err := <-started; err != nil {
+	err = <-started
+	logged.started()
+	if err != nil {
 		return nil, err
 	}
 	done = make(chan struct{})
@@ -55,36 +61,14 @@
 	p.cmd, p.done = cmd, done
 	p.mu.Unlock()
 	go func() {
-		over(cmd.Wait())
+		err := cmd.Wait()
+		logged.drain()
+		over(err)
 		close(done)
 	}()
 	return done, nil
 }
 
-// saying keeps the last of what a process says.
-type saying struct{ *Process }
-
-func (p saying) Write(b []byte) (int, error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.log.Len() > 1<<20 {
-		p.log.Reset()
-	}
-	p.log.Write(b)
-	if p.tap != nil {
-		p.part = append(p.part, b...)
-		for {
-			k := bytes.IndexByte(p.part, '\n')
-			if k < 0 {
-				break
-			}
-			p.tap(p.part[:k])
-			p.part = p.part[k+1:]
-		}
-	}
-	return len(b), nil
-}
-
 // Log is the last of what it said.
 func (p *Process) Log() string {
 	p.mu.Lock()
--- a/rig/program.go
+++ b/rig/program.go
@@ -64,11 +64,39 @@
 	dir     string
 	roster  string
 	check   *Checker
-	called  string   // its own name for itself, if it is not Name
-	args    []string // over the site's
+	called  string                  // its own name for itself, if it is not Name
+	args    []string                // over the site's
+	text    func(p *Program) string // the configuration, where it is not the site's
 	Process
 }
 
+// ProgramPlan is one app server under a configuration that is given as text.
+type ProgramPlan struct {
+	Name   string
+	Binary string
+	Args   []string // of the program
+	Site   Site     // what the rig itself goes by: cores, limits, the times of a notice
+	Folder string   // for its files
+	Roster string
+	Check  *Checker
+	Config func(p *Program) string // asked at each start and reload
+}
+
+// NewProgram prepares one, with a kernel of its own; nothing is started before Launch.
+func NewProgram(plan ProgramPlan) (*Program, error) {
+	kernel, err := NewKernel(plan.Name, plan.Site.Cores, plan.Check)
+	if err != nil {
+		return nil, err
+	}
+	address, err := freePort()
+	if err != nil {
+		kernel.Close()
+		return nil, err
+	}
+	return &Program{Name: plan.Name, Address: address, Kernel: kernel, site: plan.Site, bin: plan.Binary, dir: plan.Folder,
+		roster: plan.Roster, check: plan.Check, args: plan.Args, text: plan.Config}, nil
+}
+
 // Build makes the program in a folder, for tests; rehearse finds its own beside itself.
 func Build(dir string) (string, error) {
 	bin := filepath.Join(dir, "valveglade")
@@ -106,39 +134,10 @@
 
 // Start runs the program and returns once it takes connections.
 func (p *Program) Start() error {
-	site := p.site
-	domain := map[string]any{"below": "none", "nCores": site.Cores, "memoryKb": 64000, "runFactor": 4, "entryKb": 1,
-		"keepaliveMaxS": 30, "callers": site.Callers, "preemption": "discard", "signal": "allowance", "ownStats": []string{}}
-	for k, v := range site.Extra {
-		domain[k] = v
-	}
-	config := map[string]any{"name": cmp.Or(p.called, p.Name), "listen": p.Address, "kernel": p.Kernel.Address(), "roster": p.roster,
-		"stop_ms": site.Stop.Milliseconds(),
-		"limits":  map[string]any{"cores": cmp.Or(site.Limit, 1), "memory_mb": site.MemoryMB, "sockets": site.Sockets},
-		"settings": map[string]any{"profiles": site.Methods, "domain": domain,
-			"rules":    site.rules(),
-			"clients":  map[string]any{"marksRetry": site.Marks},
-			"ceilings": map[string]any{"retryAfter": site.MaxAfter > 0, "maxRetryAfterS": site.MaxAfter}}}
-	text, err := json.Marshal(config)
-	if err != nil {
-		return err
-	}
-	called := cmp.Or(p.called, p.Name)
-	path := filepath.Join(p.dir, p.Name+".json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return err
-	}
-	cmd := exec.Command(p.bin, slices.Concat(site.Args, p.args)...)
-	cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_NAME="+called, "GW_LISTEN="+p.Address)
-	if site.OneCore {
-		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
-	}
-	p.check.Up(p.Name)
-	p.Kernel.Boot()
-	done, err := p.run(cmd, func(err error) { p.check.Exited(p.Name, cmd.ProcessState.ExitCode(), err) })
-	if err != nil {
+	if err := p.Launch(); err != nil {
 		return err
 	}
+	done := p.ended()
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
 		if nc, err := net.Dial("tcp", p.Address); err == nil {
 			nc.Close()
@@ -153,6 +152,61 @@
 	return fmt.Errorf("%s takes no connection", p.Name)
 }
 
+// Launch runs the program and does not wait for it.
+func (p *Program) Launch() error {
+	if err := p.WriteConfig(); err != nil {
+		return err
+	}
+	cmd := exec.Command(p.bin, slices.Concat(p.site.Args, p.args)...)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+p.configPath(), "GW_NAME="+cmp.Or(p.called, p.Name), "GW_LISTEN="+p.Address)
+	if p.site.OneCore {
+		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
+	}
+	p.check.Up(p.Name)
+	p.Kernel.Boot()
+	_, err := p.run(cmd, func(err error) { p.check.Exited(p.Name, cmd.ProcessState.ExitCode(), err) })
+	return err
+}
+
+// WriteConfig puts the configuration where the program reads it, at its start and when it reloads.
+func (p *Program) WriteConfig() error {
+	if p.text != nil {
+		return p.WriteConfigText(p.text(p))
+	}
+	text, err := p.siteConfig()
+	if err != nil {
+		return err
+	}
+	return p.WriteConfigText(string(text))
+}
+
+// WriteConfigText puts any text there.
+func (p *Program) WriteConfigText(text string) error {
+	return os.WriteFile(p.configPath(), []byte(text), 0o600)
+}
+
+func (p *Program) configPath() string { return filepath.Join(p.dir, p.Name+".json") }
+
+// Roster is where it reports to.
+func (p *Program) Roster() string { return p.roster }
+
+// siteConfig is the configuration that the site makes.
+func (p *Program) siteConfig() ([]byte, error) {
+	site := p.site
+	domain := map[string]any{"below": "none", "nCores": site.Cores, "memoryKb": 64000, "runFactor": 4, "entryKb": 1,
+		"keepaliveMaxS": 30, "callers": site.Callers, "preemption": "discard", "signal": "allowance", "ownStats": []string{}}
+	for k, v := range site.Extra {
+		domain[k] = v
+	}
+	return json.Marshal(map[string]any{"name": cmp.Or(p.called, p.Name), "listen": p.Address, "kernel": p.Kernel.Address(), "roster": p.roster,
+		"stop_ms": site.Stop.Milliseconds(),
+		"limits":  map[string]any{"cores": cmp.Or(site.Limit, 1), "memory_mb": site.MemoryMB, "sockets": site.Sockets},
+		"settings": map[string]any{"profiles": site.Methods, "domain": domain,
+			"rules":    site.rules(),
+			"clients":  map[string]any{"marksRetry": site.Marks},
+			"ceilings": map[string]any{"retryAfter": site.MaxAfter > 0, "maxRetryAfterS": site.MaxAfter}}})
+}
+
 // Kill ends it outright, with its kernel's runs, and waits for its end.
 func (p *Program) Kill() {
 	p.check.Killed(p.Name)
