--- a/rig/logpipe.go
+++ b/rig/logpipe.go
@@ -68,7 +68,7 @@
 		if held != nil {
 			<-held
 		}
-		l.process.logged(bytes.Trim(buffer[:n], "\x00"))
+		l.process.logged(bytes.ReplaceAll(buffer[:n], []byte{0}, nil))
 		if err != nil {
 			return
 		}
