--- /dev/null
+++ b/rig/probe.go
@@ -0,0 +1,139 @@
+package rig
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"valveglade/internal/readbuffer"
+	"valveglade/internal/thrift"
+)
+
+// Probe asks one app server for its health all the time, on a connection of its own that it opens anew now and then.
+type Probe struct {
+	address string
+	end     chan struct{}
+	group   sync.WaitGroup
+
+	mu   sync.Mutex
+	last time.Time // of any answer
+	good time.Time // of the first good answer since Begin
+	from time.Time
+}
+
+// Figures of the probes: between two of them, for each answer, and checks on one connection.
+const (
+	probeEvery   = 100 * time.Millisecond
+	probeWaits   = time.Second
+	probesOnConn = 5
+)
+
+// NewProbe begins to ask.
+func NewProbe(address string) *Probe {
+	p := &Probe{address: address, end: make(chan struct{}), from: time.Now()}
+	p.group.Go(p.run)
+	return p
+}
+
+// Begin forgets the answers so far, as a process is started anew.
+func (p *Probe) Begin() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.from, p.last, p.good = time.Now(), time.Time{}, time.Time{}
+}
+
+// Answered returns when the last answer came; the zero time if none has since Begin.
+func (p *Probe) Answered() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// Ready returns when the first good answer came since Begin; the zero time if none has.
+func (p *Probe) Ready() time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.good
+}
+
+// Close ends it.
+func (p *Probe) Close() {
+	close(p.end)
+	p.group.Wait()
+}
+
+func (p *Probe) run() {
+	for {
+		p.converse()
+		if !p.pause() {
+			return
+		}
+	}
+}
+
+// pause reports whether the probe goes on.
+func (p *Probe) pause() bool {
+	select {
+	case <-p.end:
+		return false
+	case <-time.After(probeEvery):
+		return true
+	}
+}
+
+// converse asks some times on one connection.
+func (p *Probe) converse() {
+	conn, err := net.DialTimeout("tcp", p.address, probeWaits)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	in := readbuffer.New(thrift.MaxFrame + 4)
+	for seq := range int32(probesOnConn) {
+		asked := time.Now()
+		conn.SetDeadline(asked.Add(probeWaits))
+		if _, err := conn.Write(CheckFrame(seq + 1)); err != nil {
+			return
+		}
+		answer := probeAnswer{}
+		for !answer.came {
+			frame, size, err := thrift.Frame(in.Bytes())
+			switch {
+			case err == nil && size == 0:
+				err = in.Fill(conn)
+			case err == nil:
+				err = thrift.DecodeAnswer(frame, &answer)
+				in.Take(size)
+			}
+			if err != nil {
+				return
+			}
+		}
+		p.take(asked, answer.good)
+		if !p.pause() {
+			return
+		}
+	}
+}
+
+// take notes an answer; one that was asked for before Begin is another process's.
+func (p *Probe) take(asked time.Time, good bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if asked.Before(p.from) {
+		return
+	}
+	p.last = time.Now()
+	if good && p.good.IsZero() {
+		p.good = p.last
+	}
+}
+
+// probeAnswer takes the answer to a health check.
+type probeAnswer struct{ came, good bool }
+
+func (a *probeAnswer) Served(int32, []byte, float64)            {}
+func (a *probeAnswer) PushedBack(int32, bool, float64, float64) {}
+func (a *probeAnswer) Aborted(int32, string, float64)           { a.came = true }
+func (a *probeAnswer) Checked(_ int32, good bool, _ float64)    { a.came, a.good = true, good }
+func (a *probeAnswer) Draining()                                {}
