--- /dev/null
+++ b/cmd/rehearse/faults_calls.go
@@ -0,0 +1,243 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rig/drawn"
+	"valveglade/rpc"
+)
+
+// Figures of the load of a trial.
+const (
+	trialFar    = time.Hour              // an answer is due then where neither the RPC nor its method says when
+	trialSpread = 50 * time.Millisecond  // between the first try and a second copy, on the mean
+	trialStay   = 300 * time.Millisecond // kept to the end of a window for the rig's own lateness
+	trialRoomy  = 20                     // RPCs with room, of which some have to be served
+)
+
+// trialMethod is one method as the load asks for it.
+type trialMethod struct {
+	drawn.Method
+	deadline, window time.Duration
+}
+
+// trialCalls counts what became of the RPCs of one app server.
+type trialCalls struct {
+	mu     sync.Mutex
+	asked  int
+	ended  map[string]int
+	roomy  int // RPCs that an app server without trouble has room for
+	served int // of these
+}
+
+// load asks for RPCs until ctx ends.
+func (s *trialServer) load(ctx context.Context) {
+	var all sync.WaitGroup
+	methods := s.methods()
+	for k, peer := range s.peers {
+		chance := rand.New(rand.NewPCG(s.drawn.Seed+uint64(s.number)<<32, uint64(k)))
+		rate := s.drawn.Load.Rate / float64(len(s.peers))
+		all.Go(func() {
+			var open sync.WaitGroup
+			defer open.Wait()
+			for n := 0; ctx.Err() == nil; n++ {
+				wait(ctx, seconds64(chance.ExpFloat64()/rate))
+				if s.probe.Ready().IsZero() {
+					continue // requests come once the app server has answered a health check
+				}
+				call := s.newCall(peer, methods[chance.IntN(len(methods))], chance, fmt.Sprintf("%s-%d-%d", s.program.Name, k, n))
+				open.Go(func() { call.play(ctx) })
+			}
+		})
+	}
+	all.Wait()
+}
+
+func (s *trialServer) methods() []trialMethod {
+	var all []trialMethod
+	for k, m := range s.drawn.Settings.Methods {
+		told := s.told.Settings.Profiles[k]
+		all = append(all, trialMethod{m, seconds64(min(told.DeadlineS, trialFar.Seconds())), seconds64(min(told.WindowS, trialFar.Seconds()))})
+	}
+	return all
+}
+
+// trialCall is one RPC of the load, over all its tries.
+type trialCall struct {
+	*trialServer
+	peer      *rig.Peer
+	method    trialMethod
+	id, token string
+	body      []byte
+	recv      time.Time
+	due       time.Time
+	goes      time.Duration // when its caller stops waiting, 0 for never
+	copyAfter time.Duration // when a second copy is sent, 0 for never
+	rank      float64
+	life      int64 // the number of kills at its first try
+
+	mu     sync.Mutex
+	closed bool // no further try is allowed
+}
+
+func (s *trialServer) newCall(peer *rig.Peer, m trialMethod, chance *rand.Rand, id string) *trialCall {
+	load := s.drawn.Load
+	if load.Fill > 0 {
+		id += "-" + strings.Repeat("x", load.Fill)
+	}
+	c := &trialCall{trialServer: s, peer: peer, method: m, id: id, rank: chance.Float64(), life: s.kills.Load()}
+	c.body = rig.Body(id, min(m.Work*chance.ExpFloat64(), 5*m.Work))
+	if m.Effect == string(rpc.Tokened) {
+		c.token = fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())
+	}
+	now := time.Now()
+	c.recv = now.Add(-seconds64(load.Stale * chance.Float64())).Truncate(time.Millisecond)
+	c.due = latest(c.recv.Add(c.waits()), now)
+	if chance.Float64() < load.Goes {
+		c.goes = time.Duration(chance.Float64() * float64(min(c.waits(), 2*time.Second)))
+	}
+	if m.Effect != string(rpc.NonIdempotent) && chance.Float64() < load.Repeats {
+		c.copyAfter = 1 + time.Duration(chance.ExpFloat64()*float64(trialSpread))
+	}
+	return c
+}
+
+// waits is how long its caller waits: as long as the method's deadline, where there is one.
+func (c *trialCall) waits() time.Duration {
+	if c.method.deadline > 0 {
+		return c.method.deadline
+	}
+	return trialFar
+}
+
+func (c *trialCall) try(again bool) rig.PeerTry {
+	return rig.PeerTry{RPC: c.id, Method: c.method.Name, Token: c.token, Body: c.body, Recv: c.recv, Waits: c.waits(), Due: c.due,
+		Criticality: c.rank, Again: again}
+}
+
+// play sends the RPC, and a copy where one is drawn, until it has its outcome or the trial ends.
+func (c *trialCall) play(ctx context.Context) {
+	c.check.Asked(c.id, rpc.Kind(c.method.Effect), c.due)
+	var both sync.WaitGroup
+	if c.copyAfter > 0 {
+		both.Go(func() {
+			wait(ctx, c.copyAfter)
+			if ctx.Err() == nil && c.mayRepeat() {
+				c.once(ctx, true)
+			}
+		})
+	}
+	outcome, sent := c.once(ctx, false)
+	if sent && errors.Is(outcome.Err, rig.ErrLost) && outcome.Crossed && c.mayRepeat() {
+		outcome, _ = c.once(ctx, true)
+	}
+	both.Wait()
+	c.calls.add(c, outcome, sent)
+}
+
+// mayRepeat tells whether the RPC may be sent once more: its process still lives, and a token is still in its window.
+func (c *trialCall) mayRepeat() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.closed || c.life != c.kills.Load() || !now.Before(c.due) {
+		return false
+	}
+	return c.token == "" || now.Before(c.recv.Add(c.method.window-trialStay))
+}
+
+// once sends one try and waits for its outcome.
+func (c *trialCall) once(ctx context.Context, again bool) (rig.PeerOutcome, bool) {
+	call, err := c.peer.Send(c.try(again))
+	if err != nil {
+		return rig.PeerOutcome{Err: err}, false
+	}
+	gone := make(<-chan time.Time)
+	if c.goes > 0 && !again {
+		timer := time.NewTimer(c.goes)
+		defer timer.Stop()
+		gone = timer.C
+	}
+	for {
+		select {
+		case o := <-call.Done:
+			c.took(o)
+			return o, true
+		case <-gone:
+			call.GiveUp()
+			gone = nil
+		case <-ctx.Done(): // what is open is answered until the stop, and the checker sees it
+			return rig.PeerOutcome{Err: ctx.Err()}, true
+		}
+	}
+}
+
+// took hears what an answer says of further tries, and checks a result.
+func (c *trialCall) took(o rig.PeerOutcome) {
+	if o.Err == nil {
+		c.check.Result(c.id, o.Result)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = c.closed || o.Last || o.After > 0 || o.Err == nil
+}
+
+// add counts an RPC's outcome.
+func (t *trialCalls) add(c *trialCall, o rig.PeerOutcome, sent bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended == nil {
+		t.ended = map[string]int{}
+	}
+	t.asked++
+	word := "served"
+	if o.Err != nil {
+		word = o.Err.Error()
+	}
+	t.ended[word]++
+	if sent && !errors.Is(o.Err, context.Canceled) && c.goes == 0 && c.hasRoom() {
+		t.roomy++
+		if o.Err == nil {
+			t.served++
+		}
+	}
+}
+
+// hasRoom tells whether an app server without trouble can serve the RPC easily.
+func (c *trialCall) hasRoom() bool {
+	domain := c.told.Settings.Domain
+	work := 0.0
+	for _, m := range c.drawn.Settings.Methods {
+		work += m.Work / float64(len(c.drawn.Settings.Methods))
+	}
+	return c.waits() >= time.Second && c.method.Work <= 0.02 && !c.method.Calls && domain.MemoryKB >= 64000 && domain.RunFactor <= 4 &&
+		c.drawn.Load.Rate*work < 0.5*max(domain.NCores, 1) && domain.EntryKB <= 1
+}
+
+// judge finds app servers that serve nothing although they could.
+func (t *trialCalls) judge(s *trialServer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !s.disturbed && t.roomy >= trialRoomy && t.served == 0 {
+		s.violate("rule 1: %s serves none of %d RPCs that it has room for: %v", s.program.Name, t.roomy, t.ended)
+	}
+	if s.badTold == 0 && len(s.badIgnored) > 0 {
+		s.violate("rule 4: %s tells bad clients nothing: %v", s.program.Name, s.badIgnored)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- /dev/null
+++ b/cmd/rehearse/faults_inflict.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"syscall"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rig/drawn"
+)
+
+// inflict does one fault to the app server, undoes it after its time, and returns.
+func (s *trialServer) inflict(f drawn.Fault) {
+	s.mu.Lock()
+	s.disturbed = true
+	s.mu.Unlock()
+	last := seconds64(f.For)
+	during := func(do, undo func()) {
+		do()
+		time.Sleep(last)
+		undo()
+	}
+	kernel := s.program.Kernel
+	switch f.Kind {
+	case drawn.Kill:
+		s.kill(last)
+	case drawn.Pause:
+		s.pause(last)
+	case drawn.Terminate:
+		s.terminate()
+	case drawn.Reload, drawn.ReloadMoved:
+		s.reload(s.config(s.program))
+	case drawn.ReloadFaulty:
+		s.reload(`{"name":"` + s.program.Name + `","listen":`)
+	case drawn.RosterSilent:
+		s.silenceRoster(last)
+	case drawn.KernelLate: // from the start on, see withhold
+	case drawn.KernelDown:
+		during(kernel.Down, func() {
+			if err := kernel.Return(); err != nil {
+				s.check.Failed("%v", err)
+			}
+		})
+	case drawn.KernelHung:
+		during(func() { kernel.Hang(true) }, func() { kernel.Hang(false) })
+	case drawn.KernelSlow:
+		during(func() { kernel.Slow(float64(f.Size)) }, func() { kernel.Slow(1) })
+	case drawn.RouterDeaf:
+		during(func() { s.deafen(true) }, func() { s.deafen(false) })
+	case drawn.RouterReset:
+		for _, p := range s.peers {
+			p.Reset()
+		}
+	case drawn.RouterClose:
+		for _, p := range s.peers {
+			p.Leave()
+		}
+	case drawn.Silent:
+		idle := rig.NewIdleClients(s.program.Address, min(int(s.told.Limits.Sockets)*f.Size/100, maxSilent), 50*time.Millisecond, s.drawn.Seed)
+		time.Sleep(last)
+		idle.Close()
+	case drawn.BadClients:
+		s.badClients(f, last)
+	case drawn.LogFull:
+		s.fillLog(last)
+	}
+}
+
+// maxSilent bounds the connections without work to one app server: the rig holds their other ends.
+const maxSilent = 600
+
+func (s *trialServer) withhold(f drawn.Fault) {
+	s.program.Kernel.Withhold()
+	time.AfterFunc(seconds64(f.For), s.program.Kernel.Release)
+}
+
+// kill ends the process outright, and starts it again under its name.
+func (s *trialServer) kill(after time.Duration) {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() {
+		return
+	}
+	s.kills.Add(1)
+	s.program.Kill()
+	s.down()
+	time.Sleep(after)
+	s.again()
+}
+
+// terminate tells the process to leave, and starts it again under its name once it has.
+func (s *trialServer) terminate() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() {
+		return
+	}
+	s.kills.Add(1)
+	if err := s.program.Stop(); err != nil {
+		s.violate("rule 3: %v", err)
+	}
+	s.down()
+	s.program.Kernel.Restart()
+	s.again()
+}
+
+// again starts the process once more and counts whether it is ready in time.
+func (s *trialServer) again() {
+	s.begin()
+	began := time.Now()
+	at := untilSet(trialReady, s.probe.Ready)
+	s.trial.mu.Lock()
+	defer s.trial.mu.Unlock()
+	s.result.restarts++
+	if !at.IsZero() && at.Sub(began) <= trialReady {
+		s.result.ready++
+	}
+}
+
+// pause stops the process for a while, as a busy machine would.
+func (s *trialServer) pause(last time.Duration) {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() {
+		return
+	}
+	set := func(paused bool) {
+		s.mu.Lock()
+		s.paused, s.excused = paused, time.Now()
+		s.mu.Unlock()
+		s.check.Paused(s.program.Name, paused)
+		s.program.Pause(paused)
+	}
+	set(true)
+	time.Sleep(last)
+	set(false)
+}
+
+// reload replaces the file and has the process read it.
+func (s *trialServer) reload(text string) {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() || !s.serving() {
+		return
+	}
+	if err := s.program.WriteConfigText(text); err != nil {
+		s.check.Failed("%v", err)
+		return
+	}
+	s.program.Signal(syscall.SIGHUP)
+}
+
+// serving tells whether the process has answered a health check: before, SIGHUP may come before it is looked for.
+func (s *trialServer) serving() bool { return !s.probe.Answered().IsZero() }
+
+func (s *trialServer) silenceRoster(last time.Duration) {
+	if !s.rosterDown.CompareAndSwap(false, true) {
+		return
+	}
+	defer s.rosterDown.Store(false)
+	s.roster.Down()
+	time.Sleep(last)
+	if err := s.roster.Return(); err != nil {
+		s.check.Failed("%v", err)
+	}
+}
+
+func (s *trialServer) deafen(deaf bool) {
+	for _, p := range s.peers {
+		p.Deaf(deaf)
+	}
+}
+
+// badClients has some clients send nonsense for a while.
+func (s *trialServer) badClients(f drawn.Fault, last time.Duration) {
+	bad := rig.NewBadClients(s.program.Name, s.program.Address, s.drawn.Settings.Methods[0].Name, f.Size, s.check, s.drawn.Seed)
+	time.Sleep(last)
+	told, ignored := bad.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.badTold += told
+	s.badIgnored = append(s.badIgnored, ignored...)
+}
+
+// fillLog has nobody read the process's log for a while.
+func (s *trialServer) fillLog(last time.Duration) {
+	if !s.program.Running() {
+		return
+	}
+	if err := s.program.FillLog(); err != nil {
+		s.check.Failed("the log's pipe cannot be filled: %v", err)
+	}
+	time.Sleep(last)
+	s.program.ReadLog()
+}
--- /dev/null
+++ b/cmd/rehearse/faults_planted.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"strings"
+	"time"
+
+	"valveglade/rig/drawn"
+)
+
+// plantedFault is a mistake that the search has to find, and by which violation.
+type plantedFault struct {
+	name  string // of the sub-command planted
+	found string // part of the violation's text
+}
+
+var plantedFaults = []plantedFault{
+	{plantOtherBody, "served with"},
+	{plantSecondRun, "run a second time"},
+	{plantLostAnswer, "never answered"},
+	{plantIdleSpin, "of a core without work"},
+	{plantIgnoredStop, "did not end by itself"},
+}
+
+// plantedWithin bounds the search for one of them.
+const plantedWithin = 60 * time.Second
+
+// plantedCase is a case without anything uncommon: whatever is found in it was planted.
+func plantedCase(seed uint64) drawn.Case {
+	c := drawn.Case{Seed: seed, Servers: 3, Seconds: 3, Load: drawn.Load{Rate: 40, Routers: 2, Repeats: 0.2}}
+	for _, effect := range []string{"retryable", "dedup", "fragile"} {
+		m := drawn.PlainMethod()
+		m.Name, m.Effect = "look "+effect, effect
+		c.Settings.Methods = append(c.Settings.Methods, m)
+	}
+	return c
+}
+
+// playPlanted searches for faults in programs in which one is planted, and in one with none, started the same way.
+func (p *play) playPlanted() error {
+	control, err := p.playPlant(plantNothing, p.Seed)
+	if err != nil {
+		return err
+	}
+	if len(control.violations) > 0 {
+		control.show(p)
+	}
+	p.exactly("planted.nothing.violations", float64(len(control.violations)), 0)
+	for _, plant := range plantedFaults {
+		began := time.Now()
+		found := false
+		for seed := p.Seed; !found && time.Since(began) < plantedWithin; seed++ {
+			r, err := p.playPlant(plant.name, seed)
+			if err != nil {
+				return err
+			}
+			for _, v := range r.violations {
+				found = found || strings.Contains(v, plant.found)
+			}
+		}
+		took := time.Since(began).Seconds()
+		if !found {
+			took = 2 * plantedWithin.Seconds()
+		}
+		p.atMost("planted."+plant.name+".found.s", took, plantedWithin.Seconds())
+	}
+	return nil
+}
+
+// playPlant plays the plain case with a program in which something is planted.
+func (p *play) playPlant(name string, seed uint64) (*trialResult, error) {
+	planted := &play{Seed: seed, Program: p.self(), out: p.out, programArgs: []string{"planted", name}}
+	return planted.trial(plantedCase(seed))
+}
--- /dev/null
+++ b/cmd/rehearse/faults_server.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rig/drawn"
+)
+
+// trialServer is one app server of a trial, with its surroundings.
+type trialServer struct {
+	*trial
+	number  int
+	program *rig.Program
+	probe   *rig.Probe
+	peers   []*rig.Peer
+	calls   trialCalls
+	kills   atomic.Int64 // processes that have ended: tokens do not outlive them
+
+	life       sync.Mutex // held while the process is started or ended
+	mu         sync.Mutex
+	launched   time.Time // zero while there is no process
+	excused    time.Time // until when it may be silent: it was stopped
+	paused     bool
+	restarted  bool
+	ready      bool // the probe has seen it ready
+	logs       string
+	disturbed  bool     // a fault was inflicted on it
+	badTold    int      // bad clients that were told something
+	badIgnored []string // kinds of bad clients that were told nothing
+}
+
+func (t *trial) newServer(number int) (*trialServer, error) {
+	s := &trialServer{trial: t, number: number}
+	name := fmt.Sprintf("n%d", number+1)
+	program, err := rig.NewProgram(rig.ProgramPlan{Name: name, Binary: t.p.Program, Args: t.p.programArgs, Site: t.site(), Folder: t.folder,
+		Roster: t.roster.Address(), Check: t.check, Config: s.config})
+	if err != nil {
+		return nil, err
+	}
+	s.program = program
+	s.probe = rig.NewProbe(program.Address)
+	for k := range t.drawn.Load.Routers {
+		form := t.form()
+		if k > 0 {
+			form.Pieces = 0
+		}
+		s.peers = append(s.peers, rig.NewPeer(name, program.Address, 10*number+k, form, t.check, t.drawn.Seed+uint64(number)<<32))
+	}
+	return s, nil
+}
+
+// site is what the rig itself goes by.
+func (t *trial) site() rig.Site {
+	return rig.Site{Cores: max(int(t.told.Settings.Domain.NCores), 1), MemoryMB: int(t.told.Limits.MemoryMB), Sockets: int(t.told.Limits.Sockets),
+		Stop: seconds64(t.told.StopMS / 1000), Grace: seconds64(t.told.Settings.Rules.StopSendingWithinS), OneCore: true}
+}
+
+// form is how routers write under the settings.
+func (t *trial) form() rig.PeerForm {
+	return rig.PeerForm{PassesDeadline: t.told.PassesDeadline(), HangupSeen: t.told.HangupSeen(),
+		MarksRetry: t.told.Settings.Clients.MarksRetry, Tenants: len(t.told.Settings.Accounts), Pieces: t.drawn.Load.Pieces}
+}
+
+func (s *trialServer) config(p *rig.Program) string { return s.configFor(p.Kernel.Address()) }
+
+func (s *trialServer) configFor(kernel string) string {
+	return s.drawn.Settings.Config(drawn.Addresses{Name: s.program.Name, Listen: s.program.Address, Kernel: kernel, Roster: s.program.Roster()})
+}
+
+// launch starts the process.
+func (s *trialServer) launch() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	s.begin()
+}
+
+// begin is launch under the lock of its life.
+func (s *trialServer) begin() {
+	if err := s.program.Launch(); err != nil {
+		s.check.Failed("%s cannot be started: %v", s.program.Name, err)
+		return
+	}
+	s.probe.Begin()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.launched, s.paused, s.excused, s.ready = time.Now(), false, time.Time{}, false
+}
+
+// down notes that there is no process any more.
+func (s *trialServer) down() {
+	s.kills.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.launched = time.Time{}
+	s.logs += s.program.Log()
+}
+
+// watch looks whether the process answers health checks while it runs.
+func (s *trialServer) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.look()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (s *trialServer) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.launched.IsZero() || s.paused {
+		return
+	}
+	if ready := s.probe.Ready(); !s.ready && !ready.IsZero() {
+		s.ready = true
+	}
+	last := latest(latest(s.launched, s.excused), s.probe.Answered())
+	if silent := time.Since(last); silent > trialMute {
+		s.violate("rule 4: %s answers nobody for %.1f s", s.program.Name, silent.Seconds())
+		s.excused = time.Now().Add(time.Hour) // once is enough
+	}
+	if takes, limit := s.program.Resident(), int64(s.told.Limits.MemoryMB)<<20; takes > limit {
+		s.violate("rule 4: %s takes %d MB of %d", s.program.Name, takes>>20, limit>>20)
+	}
+	if holds := s.program.Descriptors(); holds > int(s.told.Limits.Sockets) {
+		s.violate("rule 4: %s holds %d descriptors of %d", s.program.Name, holds, int(s.told.Limits.Sockets))
+	}
+}
+
+// rest waits until the app server owes nothing, and measures the processor time that it takes without work.
+func (s *trialServer) rest() {
+	if !s.program.Running() {
+		return
+	}
+	least := trialIdle * 10
+	for range 3 { // what the rest of the machine does may stretch one of them
+		before, from := s.program.CPU(), time.Now()
+		time.Sleep(trialRest)
+		if least = min(least, (s.program.CPU()-before).Seconds()/time.Since(from).Seconds()); least < trialIdle {
+			return
+		}
+	}
+	s.violate("rule 4: %s takes %.2f of a core without work", s.program.Name, least)
+}
+
+// stop tells the process to leave, and waits for its end.
+func (s *trialServer) stop() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() {
+		return
+	}
+	if err := s.program.Stop(); err != nil {
+		s.violate("rule 3: %v", err)
+	}
+	s.down()
+}
+
+// judge looks at the log and at what was served.
+func (s *trialServer) judge() {
+	for _, word := range []string{"panic:", "fatal error:", "DATA RACE", "goroutine "} {
+		if at := strings.Index(s.logs, word); at >= 0 {
+			s.violate("rule 4: %s logs %q: %.600s", s.program.Name, word, s.logs[at:])
+			break
+		}
+	}
+	s.calls.judge(s)
+}
+
+// clear ends the process and what surrounds it.
+func (s *trialServer) clear() {
+	s.probe.Close()
+	for _, p := range s.peers {
+		p.Close()
+	}
+	if s.program.Running() {
+		s.program.Kill()
+	}
+	s.program.Kernel.Close()
+}
--- /dev/null
+++ b/cmd/rehearse/faults_trial.go
@@ -0,0 +1,192 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rig/drawn"
+)
+
+// Figures of a trial.
+const (
+	trialSlack = 500 * time.Millisecond // past what the rules name: several trials and other work share the machine
+	trialRest  = 700 * time.Millisecond // in which an app server without work is watched
+	trialIdle  = 0.2                    // of a core, at most, that it takes then
+	trialMute  = 4 * time.Second        // at most, between answers to health checks
+	trialReady = 10 * time.Second       // from a restart to the first good health check
+	trialLast  = 1500 * time.Millisecond
+)
+
+// trialResult is what a trial came to.
+type trialResult struct {
+	drawn           drawn.Case
+	violations      []string
+	restarts, ready int
+	tries, runs     int
+}
+
+// class is by what a failing trial is known again when less is in it.
+func (r *trialResult) class() string { return classOf(r.violations[0]) }
+
+func (r *trialResult) has(class string) bool {
+	return slices.ContainsFunc(r.violations, func(v string) bool { return classOf(v) == class })
+}
+
+// particulars are what differs between two violations of one kind.
+var particulars = regexp.MustCompile(`"[^"]*"|n\d+[-\w]*|[-+]?\d[\d.:]*(?:e[-+]?\d+)?(?:ns|µs|ms|m|s)?\w*`)
+
+func classOf(violation string) string {
+	first, _, _ := strings.Cut(violation, "\n")
+	return particulars.ReplaceAllString(first, "_")
+}
+
+// trial is one under way.
+type trial struct {
+	p          *play
+	drawn      drawn.Case
+	told       drawn.Told
+	check      *rig.Checker
+	roster     *rig.Roster
+	folder     string
+	servers    []*trialServer
+	began      time.Time
+	rosterDown atomic.Bool
+
+	mu     sync.Mutex
+	result trialResult
+}
+
+// trial plays one case.
+func (p *play) trial(c drawn.Case) (*trialResult, error) {
+	t := &trial{p: p, drawn: c, result: trialResult{drawn: c}}
+	if err := t.prepare(); err != nil {
+		return nil, fmt.Errorf("%w: %w", errNoTrial, err)
+	}
+	defer t.clear()
+	t.start()
+	t.play()
+	t.rest()
+	t.stop()
+	t.judge()
+	return &t.result, nil
+}
+
+// violate takes note of a broken rule.
+func (t *trial) violate(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.result.violations = append(t.result.violations, fmt.Sprintf(format, args...))
+}
+
+func (t *trial) prepare() (err error) {
+	if t.told, err = t.drawn.Settings.Told(); err != nil {
+		return err
+	}
+	if t.folder, err = os.MkdirTemp("", "faults"); err != nil {
+		return err
+	}
+	t.check = rig.NewChecker(trialSlack)
+	t.check.ResendCrossed()
+	if t.roster, err = rig.NewRoster(); err != nil {
+		return err
+	}
+	for k := range t.drawn.Servers {
+		s, err := t.newServer(k)
+		if err != nil {
+			return err
+		}
+		t.servers = append(t.servers, s)
+	}
+	return nil
+}
+
+// clear ends what is left of a trial.
+func (t *trial) clear() {
+	for _, s := range t.servers {
+		s.clear()
+	}
+	t.roster.Close()
+	os.RemoveAll(t.folder)
+}
+
+// start has all processes begin together, with what is late from their start on.
+func (t *trial) start() {
+	t.began = time.Now()
+	for _, s := range t.servers {
+		for _, f := range t.drawn.Faults {
+			if f.Server == s.number && f.Kind == drawn.KernelLate {
+				s.withhold(f)
+			}
+		}
+	}
+	for _, s := range t.servers {
+		s.launch()
+	}
+}
+
+// play has the load and the faults go on side by side, each in its time.
+func (t *trial) play() {
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	for _, s := range t.servers {
+		all.Go(func() { s.load(ctx) })
+		all.Go(func() { s.watch(ctx) })
+	}
+	var faults sync.WaitGroup
+	for _, f := range t.drawn.Faults {
+		faults.Go(func() {
+			time.Sleep(time.Until(t.began.Add(seconds64(f.At))))
+			t.servers[f.Server].inflict(f)
+		})
+	}
+	time.Sleep(time.Until(t.began.Add(seconds64(t.drawn.Seconds))))
+	faults.Wait()
+	time.Sleep(trialLast) // without a fault
+	stop()
+	all.Wait()
+}
+
+// rest watches the app servers without load.
+func (t *trial) rest() {
+	var all sync.WaitGroup
+	for _, s := range t.servers {
+		all.Go(s.rest)
+	}
+	all.Wait()
+}
+
+// stop tells all app servers to leave and waits for their ends.
+func (t *trial) stop() {
+	var all sync.WaitGroup
+	for _, s := range t.servers {
+		all.Go(s.stop)
+	}
+	all.Wait()
+}
+
+// judge gathers what the checker and the logs say.
+func (t *trial) judge() {
+	for _, s := range t.servers {
+		s.judge()
+	}
+	t.check.Finish()
+	for _, v := range t.check.Violations() {
+		if v.Rule != callersRule {
+			t.violate("%s", v)
+		}
+	}
+	t.result.tries, t.result.runs = t.check.Count("tries"), t.check.Count("runs")
+}
+
+// callersRule is the checker's number for what callers, not app servers, may not do.
+const callersRule = 5
+
+func seconds64(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -41,6 +41,7 @@
 	{"restart", "idle clients fill the descriptors, the roster is down, all are killed and started again, some kernels late", playRestart},
 	{"view-cost", "what the view costs: 20, 100 and 300 members in one process, at rest and after a fifth have died", playViewCost},
 	{"scale", "how costs grow with the size of the fleet, each with its fit and its error", playScale},
+	{"faults", "settings and faults drawn from the seed, real processes among stand-ins, judged by the rules", playFaults},
 	{"pressure-edge", "two minutes of steady load where the program just cannot bear it", playEdge},
 }
 
@@ -54,16 +55,18 @@
 
 // play is one experiment under way.
 type play struct {
-	Seed     uint64
-	Long     bool
-	Program  string // the program's binary
-	History  string // a file for what was said and done, if any
-	Script   string // a file of faults, if any
-	Part     string // the one part to run, if any, where an experiment has parts
-	rehearse string // this program's binary, where it is not the one that runs
-	brief    bool   // the shortest form, for tests
-	out      io.Writer
-	began    time.Time
+	Seed        uint64
+	Long        bool
+	Program     string // the program's binary
+	History     string // a file for what was said and done, if any
+	Script      string // a file of faults, if any
+	Part        string // the one part to run, if any, where an experiment has parts
+	rehearse    string // this program's binary, where it is not the one that runs
+	brief       bool   // the shortest form, for tests
+	faults      faultFlags
+	programArgs []string // of the program, where the search for faults starts it
+	out         io.Writer
+	began       time.Time
 
 	mu      sync.Mutex // parts of an experiment may be judged side by side
 	figures []figure
@@ -154,7 +157,8 @@
 	run.Flags().StringVar(&p.Script, "script", "", "play the faults of this file instead of drawing them, where an experiment draws")
 	run.Flags().StringVar(&p.Part, "part", "", "run this part alone, where an experiment has parts")
 	run.Flags().StringVar(&path, "json", "", "write the figures to this file too")
-	root.AddCommand(run, echoCommand(), bareCommand(), lowestCommand(), capacityCommand(), hollowCommand(), callerCommand())
+	p.faults.register(run)
+	root.AddCommand(run, echoCommand(), bareCommand(), lowestCommand(), capacityCommand(), hollowCommand(), callerCommand(), plantedCommand())
 	return root
 }
 
--- a/rig/drawn/faults.go
+++ b/rig/drawn/faults.go
@@ -43,6 +43,17 @@
 	Size   int       `json:"size,omitempty"`
 }
 
+// Kinds are all kinds of faults, in a fixed order.
+func Kinds() []FaultKind {
+	var all []FaultKind
+	for _, form := range faultForms {
+		if !slices.Contains(all, form.kind) {
+			all = append(all, form.kind)
+		}
+	}
+	return all
+}
+
 // faultForm says which sizes a fault may have, and for how long it may last.
 type faultForm struct {
 	kind        FaultKind
--- a/rig/launch.go
+++ b/rig/launch.go
@@ -23,6 +23,9 @@
 // Reload sends SIGHUP.
 func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
 
+// Signal sends a signal to the process, unless it has ended.
+func (p *Process) Signal(s syscall.Signal) { p.signal(s) }
+
 // ErrNotEnded is returned for a process that had to be killed.
 var ErrNotEnded = errors.New("the process did not end by itself")
 
