rig: the kernel stand-in keeps the protocol, and commands are checked against what clients sent

The network passes bytes as they are, split as they come.

Checker: a request written on a new connection that is closed without an answer is lost; only one whose last byte could not be written was never read. A write to the app server that fails was taken for the caller's own end.

--- a/rig/check.go
+++ b/rig/check.go
@@ -20,19 +20,26 @@
 // Checker watches everything that an experiment does and knows the rules. It is told by callers (Asked), by the
 // network (Try, Interrupted, Answered, Ended), by the kernels (Started) and by whoever starts and stops programs
 // (Up, Notice, Killed, Exited). It is safe for use by many goroutines.
+//
+// An RPC is excused from its final answer by its own caller's interrupt or end or by its not reading, by a reset on the
+// routers' side and by the kill of its process, and by nothing else: trouble of the kernel, of the roster or with other clients excuses nothing. An
+// app server that ends a connection has lost what was written on it and has no answer, on a new connection too: it may have
+// been read. What was provably never read is what could not be written, because the connection was refused or was reset
+// before the last byte of the request.
 type Checker struct {
 	mu         sync.Mutex
-	rpcs       map[string]*asked
+	rpcs       map[string]*askedRPC
 	tries      map[*flow]map[int32]*tried // by connection and number, until the connection has ended
 	servers    map[string]*processState
 	violations []Violation
 	counts     map[string]int
 	slack      time.Duration
 	crossed    map[string]*tried // by RPC; nil unless ResendCrossed, see there
+	terms      *Terms            // nil unless Judge, see there
 }
 
-// asked is one RPC, over all its tries.
-type asked struct {
+// askedRPC is one RPC, over all its tries.
+type askedRPC struct {
 	kind     rpc.Kind
 	deadline time.Time
 	tries    int
@@ -50,10 +57,14 @@
 	at       time.Time
 	due      time.Time
 	answered bool
-	excused  bool // interrupted, or its connection was ended by the caller or by us
-	late     bool // may be answered late: its app server's process was stopped meanwhile
+	excused  bool     // interrupted, or its connection was ended by the caller or by us
+	late     bool     // may be answered late: its app server's process was stopped meanwhile
+	sent     *sentTry // nil unless Judge
 }
 
+// over reports whether no answer is owed any more.
+func (t *tried) over() bool { return t.answered || t.excused }
+
 // processState is one app server's.
 type processState struct {
 	up      bool
@@ -62,12 +73,19 @@
 	grace   time.Duration
 	killed  bool
 	paused  bool
+	resumed time.Time // when it was last let go on
+	ended   time.Time
 	started map[string]time.Time
+	ledger  *ledger // of what clients sent to this process
+}
+
+func newProcessState() *processState {
+	return &processState{started: map[string]time.Time{}, ledger: newLedger()}
 }
 
 // NewChecker allows so much beside each time that a rule names, for what the machine itself takes.
 func NewChecker(slack time.Duration) *Checker {
-	return &Checker{rpcs: map[string]*asked{}, tries: map[*flow]map[int32]*tried{}, servers: map[string]*processState{},
+	return &Checker{rpcs: map[string]*askedRPC{}, tries: map[*flow]map[int32]*tried{}, servers: map[string]*processState{},
 		counts: map[string]int{}, slack: slack}
 }
 
@@ -78,6 +96,13 @@
 	}
 }
 
+// report takes note of a violation that a stand-in has seen.
+func (c *Checker) report(rule int, format string, args ...any) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.violate(rule, format, args...)
+}
+
 // Failed takes note that the rig itself did not work: such a run shows nothing.
 func (c *Checker) Failed(format string, args ...any) {
 	c.mu.Lock()
@@ -86,7 +111,7 @@
 }
 
 // Count is a figure that the checker has kept: tries, runs, pushed_back, refused.retried, late.sent, double.runs,
-// unanswered, turned.away, crossed.
+// unanswered, turned.away (never read: the connection was reset first), crossed.
 func (c *Checker) Count(name string) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +129,7 @@
 func (c *Checker) Asked(id string, kind rpc.Kind, deadline time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rpcs[id] = &asked{kind: kind, deadline: deadline}
+	c.rpcs[id] = &askedRPC{kind: kind, deadline: deadline}
 	c.counts["asked"]++
 }
 
@@ -130,7 +155,7 @@
 // server is called under the lock.
 func (c *Checker) server(name string) *processState {
 	if c.servers[name] == nil {
-		c.servers[name] = &processState{started: map[string]time.Time{}}
+		c.servers[name] = newProcessState()
 	}
 	return c.servers[name]
 }
@@ -139,7 +164,8 @@
 func (c *Checker) Up(server string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers[server] = &processState{up: true, started: map[string]time.Time{}}
+	c.servers[server] = newProcessState()
+	c.servers[server].up = true
 }
 
 // Notice tells that it has been told to leave.
@@ -169,11 +195,15 @@
 }
 
 // Paused tells that the rig has stopped its process, or starves it, or lets it go on: what it answers late meanwhile is
-// excused, and all else is not.
+// excused, and all else is not. It still owes each answer once it goes on.
 func (c *Checker) Paused(server string, paused bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.server(server).paused = paused
+	s := c.server(server)
+	s.paused = paused
+	if !paused {
+		s.resumed = time.Now()
+	}
 	for _, tries := range c.tries {
 		for _, t := range tries {
 			if t.server == server {
@@ -197,7 +227,7 @@
 	case time.Now().After(s.stop.Add(c.slack)):
 		c.violate(3, "%s ended %v after its stop", server, time.Since(s.stop))
 	}
-	s.up = false
+	s.up, s.ended = false, time.Now()
 }
 
 // Memory tells what it takes, against its limit.
@@ -208,172 +238,3 @@
 		c.violate(4, "%s takes %d MB of %d", server, bytes>>20, limit>>20)
 	}
 }
-
-// Try tells of an RPC whose last byte has been written to an app server.
-func (c *Checker) Try(server string, conn *flow, seq int32, id string, due time.Time, again bool) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counts["tries"]++
-	r := c.rpcs[id]
-	if r == nil {
-		return
-	}
-	delete(c.crossed, id)
-	if r.tries++; r.tries > 1 {
-		c.counts["further"]++
-	}
-	switch {
-	case r.last, now.Before(r.until):
-		c.counts["refused.retried"]++
-		c.violate(5, "%s tried again at %s, %v before it was allowed to", id, server, time.Until(r.until))
-	}
-	// A millisecond is what the wire's figures are rounded to; the slack is for this process, which may be off its
-	// core between the caller's look at the clock and this one.
-	if now.After(r.deadline.Add(c.slack)) {
-		c.counts["late.sent"]++
-		c.violate(5, "%s sent %v after its deadline", id, now.Sub(r.deadline))
-	}
-	if due.After(r.deadline.Add(2*time.Millisecond + c.slack/5)) {
-		c.violate(5, "%s sent with a deadline %v later than its own", id, due.Sub(r.deadline))
-	}
-	if r.kind == rpc.NonIdempotent && r.sent {
-		c.violate(5, "%s is non-idempotent and was sent twice", id)
-	}
-	r.sent = true
-	if c.tries[conn] == nil {
-		c.tries[conn] = map[int32]*tried{}
-	}
-	if c.tries[conn][seq] != nil {
-		c.violate(5, "%s sent under number %d, which is in use", id, seq)
-	}
-	c.tries[conn][seq] = &tried{id: id, server: server, at: now, due: due, excused: c.server(server).killed,
-		late: c.server(server).paused}
-}
-
-// Interrupted tells that the caller of a try waits no longer.
-func (c *Checker) Interrupted(conn *flow, seq int32) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if t := c.tries[conn][seq]; t != nil {
-		t.excused = true
-	}
-}
-
-// Answered tells of an answer to a try, as it came from the app server.
-func (c *Checker) Answered(conn *flow, seq int32, how rpc.Outcome, last bool, after time.Duration) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	t := c.tries[conn][seq]
-	switch {
-	case t == nil:
-		c.violate(1, "an answer to number %d, which was not asked", seq)
-		return
-	case t.answered:
-		c.violate(2, "two answers to %s", t.id)
-		return
-	}
-	t.answered = true
-	if now.After(t.due.Add(c.slack)) && !t.excused && !t.late {
-		c.counts["late.answers"]++
-		c.violate(1, "%s answered by %s %v after its deadline", t.id, t.server, now.Sub(t.due))
-	}
-	r, s := c.rpcs[t.id], c.server(t.server)
-	if r == nil || how != rpc.PushedBack {
-		return
-	}
-	c.counts["pushed_back"]++
-	r.last = r.last || last
-	if until := now.Add(after - c.slack/10); after > 0 && until.After(r.until) {
-		r.until = until
-	}
-	if at, ran := s.started[t.id]; ran && r.kind != rpc.Idempotent && at.After(t.at) {
-		c.violate(2, "%s pushed back by %s, where it had been run", t.id, t.server)
-	}
-}
-
-// Ended tells that a connection is over: by the caller's doing, or ours, what was open on it is excused.
-func (c *Checker) Ended(conn *flow, ours bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	// Only this connection's: looking through all tries held the rig up while many connections ended, and its own
-	// lateness looked like the app server's.
-	for _, t := range c.tries[conn] {
-		if t.answered || t.excused {
-			continue
-		}
-		if ours || c.server(t.server).killed {
-			t.excused = true
-			continue
-		}
-		// A new connection that is closed before anything was said or run on it has failed its RPCs and not lost them.
-		if _, ran := c.server(t.server).started[t.id]; !ran && !conn.spoke.Load() {
-			t.excused = true
-			c.counts["turned.away"]++
-			continue
-		}
-		if c.crossedClose(t) {
-			t.excused = true
-			c.counts["crossed"]++
-			c.crossed[t.id] = t
-			continue
-		}
-		c.counts["unanswered"]++
-		c.violate(1, "%s lost: %s ended the connection without an answer", t.id, t.server)
-		t.excused = true
-	}
-	delete(c.tries, conn)
-}
-
-// Started tells that a kernel has begun to run an RPC.
-func (c *Checker) Started(server, id string) {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	r, s := c.rpcs[id], c.server(server)
-	if r == nil {
-		c.violate(1, "%s ran %q, which nobody asked for", server, id)
-		return
-	}
-	c.counts["runs"]++
-	r.runs++
-	r.ran = true
-	s.started[id] = now
-	if r.runs > 1 && r.kind != rpc.Idempotent {
-		c.counts["double.runs"]++
-		c.violate(2, "%s (%s) run a second time, at %s", id, r.kind, server)
-	}
-	if s.notice.IsZero() {
-		return
-	}
-	// The rule counts when the RPC came, not when it starts.
-	came := time.Time{}
-	for _, tries := range c.tries {
-		for _, t := range tries {
-			if t.server == server && t.id == id && t.at.After(came) {
-				came = t.at
-			}
-		}
-	}
-	if came.After(s.notice.Add(s.grace + c.slack)) {
-		c.violate(3, "%s came to %s %v after its notice and was run", id, server, came.Sub(s.notice))
-	}
-}
-
-// Finish looks at what is still open: tries whose deadline has passed without an answer.
-func (c *Checker) Finish() {
-	now := time.Now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, tries := range c.tries {
-		for _, t := range tries {
-			if !t.answered && !t.excused && !t.late && now.After(t.due.Add(c.slack)) {
-				c.counts["unanswered"]++
-				c.violate(1, "%s never answered by %s", t.id, t.server)
-				t.excused = true
-			}
-		}
-	}
-	c.finishCrossed()
-}
--- /dev/null
+++ b/rig/check_messages.go
@@ -0,0 +1,177 @@
+package rig
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+	"time"
+
+	"valveglade/rpc"
+)
+
+// asked tells of a message of a router, as its last byte is about to be written to an app server; err says that it cannot be
+// read. It returns whether an answer is owed.
+func (c *Checker) asked(conn *flow, q request, err error) (owed bool) {
+	switch {
+	case err == nil && q.kind == messageOneway && q.name == "interrupt":
+		c.Interrupted(conn, q.target)
+	case err == nil && q.kind == messageCall && q.name == "execute":
+		return c.execute(conn, q)
+	case q.kind == messageCall: // a health check, or what no router sends: an answer does no harm, and is not judged
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		conn.mayAnswer(q.seq)
+	}
+	return false
+}
+
+// execute tells of an RPC on its way to an app server.
+func (c *Checker) execute(conn *flow, q request) (owed bool) {
+	now := time.Now()
+	if c.judged() {
+		return c.executeJudged(conn, q, now)
+	}
+	id, work, ok := ReadBody(q.body)
+	if !ok {
+		return false
+	}
+	if conn.arrivals != nil {
+		conn.arrivals.Add(now, work)
+	}
+	ttl, _ := q.ttl()
+	c.Try(conn.Net.server, conn, q.seq, id, q.recv(now).Add(ttl), q.fields["again"] == "1")
+	return true
+}
+
+// judged reports whether Judge has been called.
+func (c *Checker) judged() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.terms != nil
+}
+
+// executeJudged enters an RPC into the ledger of its app server.
+func (c *Checker) executeJudged(conn *flow, q request, now time.Time) (owed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := &sentTry{call: q.fields["call"], method: q.fields["op"], token: q.fields["dedupe"], body: slices.Clone(q.body),
+		recv: q.recv(now), heapKB: q.heap()}
+	s.entry = c.terms.Catalog.Lookup(s.call, s.body)
+	if conn.arrivals != nil {
+		conn.arrivals.Add(now, s.entry.Work)
+	}
+	ttl, told := q.ttl()
+	if !told {
+		ttl = c.terms.deadline(s.method)
+	}
+	due := s.recv.Add(ttl)
+	if due.Before(now) { // in no case earlier than the reading of the request
+		due = now
+	}
+	s.tried = c.newTried(conn.Net.server, s.entry.RPC, now, due)
+	s.tried.sent = s
+	c.server(conn.Net.server).ledger.add(s)
+	c.counts["tries"]++
+	delete(c.crossed, s.id)
+	if conn.ended.Load() { // nothing is read any more
+		s.excused = true
+		return false
+	}
+	if before := c.tries[conn][q.seq]; before != nil && !before.over() {
+		// Its number is in use: which of the two an answer is for cannot be told.
+		conn.mayAnswer(q.seq)
+		s.excused = true
+		return false
+	}
+	c.open(conn, q.seq, s.tried)
+	return true
+}
+
+// replied tells of a message of an app server; err says that it cannot be read.
+func (c *Checker) replied(conn *flow, a reply, err error) {
+	if err != nil {
+		c.report(1, "%s says what no router can read: %v", conn.Net.server, err)
+		return
+	}
+	if a.kind == replyDraining || c.allowed(conn, a) {
+		return
+	}
+	switch a.kind {
+	case replyServed:
+		c.judgeResult(conn, a)
+		c.Answered(conn, a.seq, rpc.OK, false, 0)
+	case replyPushedBack:
+		c.judgePushback(conn, a)
+		c.Answered(conn, a.seq, rpc.PushedBack, a.last, a.after)
+	case replyAborted:
+		c.Answered(conn, a.seq, rpc.Error, false, 0)
+	case replyChecked:
+		c.report(1, "%s answers a health check under number %d, which was not asked", conn.Net.server, a.seq)
+	}
+}
+
+// allowed reports whether a message may be answered that owes no answer, or one more under a number that its client has used
+// twice.
+func (c *Checker) allowed(conn *flow, a reply) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tries[conn][a.seq]; t != nil && !t.answered {
+		return false
+	}
+	if conn.spare[a.seq] == 0 {
+		return false
+	}
+	conn.spare[a.seq]--
+	return true
+}
+
+// judgeResult finds a result that no run at this app server made for the RPC, or for another try of it.
+func (c *Checker) judgeResult(conn *flow, a reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tries[conn][a.seq]
+	if t == nil || t.sent == nil || t.answered {
+		return
+	}
+	l := c.server(t.server).ledger
+	for _, s := range l.siblings(t.sent) {
+		if slices.ContainsFunc(s.results, func(r []byte) bool { return bytes.Equal(r, a.body) }) {
+			return
+		}
+	}
+	c.violate(1, "%s was served by %s with what no run of it made there: %.60q", t.sent, t.server, a.body)
+}
+
+// judgePushback finds a refusal of what has been run. It promises that this try never ran.
+func (c *Checker) judgePushback(conn *flow, a reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tries[conn][a.seq]
+	if t == nil || t.sent == nil || t.answered || t.sent.ran.IsZero() || c.terms.Methods[t.sent.method].Kind == rpc.Idempotent {
+		return
+	}
+	c.violate(2, "%s pushed back by %s, where it had been run", t.sent, t.server)
+}
+
+// mayAnswer allows one more answer under a number. Called under the checker's lock.
+func (f *flow) mayAnswer(seq int32) {
+	if f.spare == nil {
+		f.spare = map[int32]int{}
+	}
+	f.spare[seq]++
+}
+
+// Dump lists what is still owed, for those who look into a trial.
+func (c *Checker) Dump() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	for _, tries := range c.tries {
+		for seq, t := range tries {
+			if !t.over() {
+				all = append(all, fmt.Sprintf("%s at %s under number %d, due in %v", t.id, t.server, seq, time.Until(t.due)))
+			}
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/rig/check_runs.go
@@ -0,0 +1,166 @@
+package rig
+
+import (
+	"time"
+
+	"valveglade/rpc"
+)
+
+// Started tells that a kernel has begun to run an RPC.
+func (c *Checker) Started(server, id string) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r, s := c.rpcs[id], c.server(server)
+	if r == nil {
+		c.violate(1, "%s ran %q, which nobody asked for", server, id)
+		return
+	}
+	c.counts["runs"]++
+	r.runs++
+	r.ran = true
+	s.started[id] = now
+	if r.runs > 1 && r.kind != rpc.Idempotent {
+		c.counts["double.runs"]++
+		c.violate(2, "%s (%s) run a second time, at %s", id, r.kind, server)
+	}
+	if s.notice.IsZero() {
+		return
+	}
+	// The rule counts when the RPC came, not when it starts.
+	came := time.Time{}
+	for _, tries := range c.tries {
+		for _, t := range tries {
+			if t.server == server && t.id == id && t.at.After(came) {
+				came = t.at
+			}
+		}
+	}
+	if came.After(s.notice.Add(s.grace + c.slack)) {
+		c.violate(3, "%s came to %s %v after its notice and was run", id, server, came.Sub(s.notice))
+	}
+}
+
+// order is what a kernel is to run on a command; ok is false where no client has sent that to this process.
+func (c *Checker) order(server, call, method string, body []byte) (o workOrder, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.terms == nil {
+		id, work, ok := ReadBody(body)
+		return workOrder{entry: Entry{RPC: id, Work: work}}, ok
+	}
+	l := c.server(server).ledger
+	s := l.find(call, method, body)
+	if s == nil {
+		c.violate(1, "%s asks its kernel to run what no client has sent it: %s", server, l.altered(call, method, body))
+		return workOrder{}, false
+	}
+	return workOrder{entry: s.entry, sent: s, over: s.over()}, true
+}
+
+// known reports whether a client has sent an RPC of this id to this process. Without Judge nobody knows, and all are.
+func (c *Checker) known(server, call string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.terms == nil || len(c.server(server).ledger.byCall[call]) > 0
+}
+
+// requestOver reports whether the request of a run has been answered or given up.
+func (c *Checker) requestOver(o workOrder) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return o.sent != nil && o.sent.over()
+}
+
+// begun tells that a run has begun.
+func (c *Checker) begun(server string, o workOrder) {
+	if o.sent == nil {
+		c.Started(server, o.entry.RPC)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["runs"]++
+	p := c.server(server)
+	if !p.notice.IsZero() && o.sent.at.After(p.notice.Add(p.grace+c.slack)) {
+		c.violate(3, "%s came to %s %v after its notice and was run", o.sent, server, o.sent.at.Sub(p.notice))
+	}
+	c.judgeRun(server, p.ledger, o.sent)
+	if r := c.rpcs[o.entry.RPC]; r != nil {
+		r.ran = true
+	}
+	o.sent.ran, o.sent.running = time.Now(), true
+	p.ledger.live[o.sent] = struct{}{}
+	p.started[o.sent.id] = o.sent.ran
+}
+
+// judgeRun finds a second effect: of a non-idempotent RPC ever, of a tokened one within the window that counts from the
+// arrival of the try that ran. Called under the lock.
+func (c *Checker) judgeRun(server string, l *ledger, s *sentTry) {
+	m := c.terms.Methods[s.method]
+	if m.Kind == rpc.Idempotent {
+		return
+	}
+	if !s.ran.IsZero() {
+		c.counts["double.runs"]++
+		c.violate(2, "%s (%s) run a second time, at %s", s, m.Kind, server)
+		return
+	}
+	if m.Kind != rpc.Tokened {
+		return
+	}
+	for _, other := range l.siblings(s) {
+		if until := other.recv.Add(m.Window); !other.ran.IsZero() && s.at.Add(c.slack).Before(until) {
+			c.counts["double.runs"]++
+			c.violate(2, "%s run at %s, where %s of the same token was run, %v before the end of its window", s, server, other, until.Sub(s.at))
+			return
+		}
+	}
+}
+
+// made tells of the result of a run.
+func (c *Checker) made(o workOrder, result []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.sent != nil {
+		o.sent.results = append(o.sent.results, result)
+	}
+}
+
+// finished tells that a run is over.
+func (c *Checker) finished(o workOrder) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.sent != nil {
+		o.sent.running = false
+	}
+}
+
+// bookedKB is the memory that all requests of an app server book now.
+func (c *Checker) bookedKB(server string, runFactor float64) float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.server(server).ledger.bookedKB(time.Now(), runFactor)
+}
+
+// load is what an app server has to do.
+func (c *Checker) load(server string) serverLoad {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.server(server).ledger.load(time.Now())
+}
+
+// connected counts a connection to an app server, until disconnected.
+func (c *Checker) connected(server string) *ledger {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.server(server).ledger
+	l.connections++
+	return l
+}
+
+func (c *Checker) disconnected(l *ledger) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l.connections--
+}
--- a/rig/check_test.go
+++ b/rig/check_test.go
@@ -24,7 +24,6 @@
 			c.Started("n2", "a")
 		}},
 		"lost answer": {1, "without an answer", func(c *Checker, f *flow) {
-			f.spoke.Store(true)
 			c.Ended(f, false)
 		}},
 		"lost run": {1, "without an answer", func(c *Checker, f *flow) {
@@ -32,13 +31,11 @@
 			c.Ended(f, false)
 		}},
 		"lost over a close": {1, "not sent again", func(c *Checker, f *flow) {
-			f.spoke.Store(true)
 			c.ResendCrossed()
 			c.Ended(f, false)
 			c.Finish()
 		}},
 		"lost before a close": {1, "without an answer", func(c *Checker, f *flow) {
-			f.spoke.Store(true)
 			c.ResendCrossed()
 			time.Sleep(closeCrossing + 20*time.Millisecond)
 			c.Ended(f, false)
@@ -115,9 +112,10 @@
 // What is excused is no violation: a caller that is gone, an app server that was killed.
 func TestCheckerExcuses(t *testing.T) {
 	c, f, g := NewChecker(10*time.Millisecond), &flow{}, &flow{}
-	c.Asked("turned away", rpc.Tokened, time.Now())
+	c.Asked("never written", rpc.Tokened, time.Now())
 	h := &flow{}
-	c.Try("n3", h, 9, "turned away", time.Now(), false)
+	c.Try("n3", h, 9, "never written", time.Now(), false)
+	c.Unwritten(h, 9)
 	c.Ended(h, false)
 	for k, id := range []string{"gone", "closed", "killed"} {
 		c.Asked(id, rpc.Tokened, time.Now())
@@ -142,7 +140,6 @@
 	far := time.Now().Add(time.Hour)
 	c.Asked("a", rpc.Tokened, far)
 	c.Try("n1", f, 1, "a", far, false)
-	f.spoke.Store(true)
 	c.Ended(f, false)
 	c.Try("n1", g, 1, "a", far, true)
 	c.Answered(g, 1, rpc.OK, false, 0)
--- /dev/null
+++ b/rig/check_tries.go
@@ -0,0 +1,174 @@
+package rig
+
+import (
+	"time"
+
+	"valveglade/rpc"
+)
+
+// Try tells of an RPC whose last byte has been written to an app server.
+func (c *Checker) Try(server string, conn *flow, seq int32, id string, due time.Time, again bool) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counts["tries"]++
+	r := c.rpcs[id]
+	if r == nil {
+		return
+	}
+	delete(c.crossed, id)
+	if r.tries++; r.tries > 1 {
+		c.counts["further"]++
+	}
+	switch {
+	case r.last, now.Before(r.until):
+		c.counts["refused.retried"]++
+		c.violate(5, "%s tried again at %s, %v before it was allowed to", id, server, time.Until(r.until))
+	}
+	// A millisecond is what the wire's figures are rounded to; the slack is for this process, which may be off its
+	// core between the caller's look at the clock and this one.
+	if now.After(r.deadline.Add(c.slack)) {
+		c.counts["late.sent"]++
+		c.violate(5, "%s sent %v after its deadline", id, now.Sub(r.deadline))
+	}
+	if due.After(r.deadline.Add(2*time.Millisecond + c.slack/5)) {
+		c.violate(5, "%s sent with a deadline %v later than its own", id, due.Sub(r.deadline))
+	}
+	if r.kind == rpc.NonIdempotent && r.sent {
+		c.violate(5, "%s is non-idempotent and was sent twice", id)
+	}
+	r.sent = true
+	if c.tries[conn][seq] != nil {
+		c.violate(5, "%s sent under number %d, which is in use", id, seq)
+	}
+	c.open(conn, seq, c.newTried(server, id, now, due))
+}
+
+// open has an answer to a number owed on a connection. Called under the lock.
+func (c *Checker) open(conn *flow, seq int32, t *tried) {
+	if c.tries[conn] == nil {
+		c.tries[conn] = map[int32]*tried{}
+	}
+	c.tries[conn][seq] = t
+}
+
+// newTried is called under the lock.
+func (c *Checker) newTried(server, id string, now, due time.Time) *tried {
+	s := c.server(server)
+	return &tried{id: id, server: server, at: now, due: due, excused: s.killed, late: s.paused}
+}
+
+// Interrupted tells that the caller of a try waits no longer.
+func (c *Checker) Interrupted(conn *flow, seq int32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tries[conn][seq]; t != nil {
+		t.excused = true
+	}
+}
+
+// Answered tells of an answer to a try, as it came from the app server.
+func (c *Checker) Answered(conn *flow, seq int32, how rpc.Outcome, last bool, after time.Duration) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tries[conn][seq]
+	switch {
+	case t == nil:
+		c.violate(1, "an answer to number %d, which was not asked", seq)
+		return
+	case t.answered:
+		c.violate(2, "two answers to %s", t.id)
+		return
+	}
+	t.answered = true
+	if t.sent != nil {
+		c.server(t.server).ledger.answered(now, now.Sub(t.at), how == rpc.OK)
+	}
+	if now.After(c.owedUntil(t).Add(c.slack)) && !t.excused && !conn.callerUnread() {
+		c.counts["late.answers"]++
+		c.violate(1, "%s answered by %s %v after its deadline", t.id, t.server, now.Sub(t.due))
+	}
+	r, s := c.rpcs[t.id], c.server(t.server)
+	if r == nil || how != rpc.PushedBack {
+		return
+	}
+	c.counts["pushed_back"]++
+	r.last = r.last || last
+	if until := now.Add(after - c.slack/10); after > 0 && until.After(r.until) {
+		r.until = until
+	}
+	if at, ran := s.started[t.id]; ran && r.kind != rpc.Idempotent && at.After(t.at) {
+		c.violate(2, "%s pushed back by %s, where it had been run", t.id, t.server)
+	}
+}
+
+// Unwritten tells that the last byte of a try could not be written, as its connection was reset before: it was never read.
+func (c *Checker) Unwritten(conn *flow, seq int32) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t := c.tries[conn][seq]; t != nil && !t.over() {
+		t.excused = true
+		c.counts["turned.away"]++
+	}
+}
+
+// Ended tells that a connection is over: by the caller's doing, or ours, what was open on it is excused. What its app server
+// ends is lost, on a new connection too.
+func (c *Checker) Ended(conn *flow, ours bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	// Only this connection's: looking through all tries held the rig up while many connections ended, and its own
+	// lateness looked like the app server's.
+	for _, t := range c.tries[conn] {
+		if t.over() {
+			continue
+		}
+		t.excused = true
+		switch {
+		case ours || conn.callerUnread() || c.server(t.server).killed:
+		case c.crossedClose(t):
+			c.counts["crossed"]++
+			c.crossed[t.id] = t
+		default:
+			c.counts["unanswered"]++
+			c.violate(1, "%s lost: %s ended the connection without an answer", t.id, t.server)
+		}
+	}
+	delete(c.tries, conn)
+}
+
+// Finish looks at what is still open: tries whose deadline has passed without an answer.
+func (c *Checker) Finish() {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, tries := range c.tries {
+		for _, t := range tries {
+			if !t.over() && !conn.callerUnread() && now.After(c.owedUntil(t).Add(c.slack)) {
+				c.counts["unanswered"]++
+				c.violate(1, "%s never answered by %s", t.id, t.server)
+				t.excused = true
+			}
+		}
+	}
+	c.finishCrossed()
+}
+
+// owedUntil is when the answer of a try has to be there. While its process is stopped it cannot answer; as soon as it goes on,
+// it has to. Called under the lock.
+func (c *Checker) owedUntil(t *tried) time.Time {
+	s := c.server(t.server)
+	switch {
+	case !t.late:
+		return t.due
+	case s.paused:
+		return time.Now()
+	case s.resumed.After(t.due):
+		return s.resumed.Add(resumeTime)
+	}
+	return t.due.Add(resumeTime)
+}
+
+// resumeTime is what a process that was stopped is given to catch up.
+const resumeTime = time.Second
--- a/rig/cluster.go
+++ b/rig/cluster.go
@@ -165,7 +165,7 @@
 		if err != nil {
 			return nil, err
 		}
-		kernel.backend = s.plan.Backend
+		kernel.config.Backend = s.plan.Backend
 		// At its own address no other process can have taken the port meanwhile.
 		address := netip.AddrPortFrom(own.Addr(), callersPort).String()
 		n.Program = &Program{Name: name, Address: address, Kernel: kernel, site: s.plan.Site, bin: s.plan.Program, dir: s.dir,
--- a/rig/net.go
+++ b/rig/net.go
@@ -1,20 +1,19 @@
 package rig
 
 import (
+	"errors"
 	"io"
-	"math"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"valveglade/internal/readbuffer"
 	"valveglade/internal/thrift"
-	"valveglade/rpc"
 )
 
-// Net is a faulty network in front of one app server: callers connect to its address. It tells the checker what
-// passes.
+// Net is a faulty network in front of one app server: callers connect to its address. It passes all bytes on as they are and
+// tells the checker of each message before its last byte.
 type Net struct {
 	server   string
 	target   string
@@ -29,17 +28,21 @@
 	deaf  bool // connections are taken, and nothing passes
 	group sync.WaitGroup
 
-	trickle atomic.Int64 // bytes that answers come in at a time, every 10 ms; 0 for as they are
-	delay   atomic.Int64 // of each direction, in nanoseconds
+	trickle atomic.Int64  // bytes that answers come in at a time, every 10 ms; 0 for as they are
+	delay   atomic.Int64  // of each direction, in nanoseconds
+	pieces  atomic.Uint64 // seed by which both directions come in pieces; 0 for as they are
 }
 
 // flow is one connection through the network.
 type flow struct {
 	*Net
 	caller, server net.Conn
-	ours           atomic.Bool // ended by the network or by the caller
-	spoke          atomic.Bool // the app server has said something
-	ended          atomic.Bool // the app server has ended it
+	ours           atomic.Bool   // ended by the network or by the caller
+	ended          atomic.Bool   // the app server has ended it
+	writing        atomic.Int64  // since when a write to the caller has not come back, Unix nanoseconds; 0 for none
+	unread         atomic.Bool   // the caller has not read what was written to it
+	wrote          atomic.Uint64 // chunks so far, from which the pieces of the next are drawn
+	spare          map[int32]int // answers that are not owed and do no harm, by number; under the checker's lock
 }
 
 // NewNet listens on a free port for callers of the app server at target.
@@ -95,6 +98,9 @@
 // Trickle has answers come a few bytes at a time; 0 ends it.
 func (n *Net) Trickle(bytes int) { n.trickle.Store(int64(bytes)) }
 
+// Pieces has both directions come in pieces of any length, drawn from the seed; 0 ends it.
+func (n *Net) Pieces(seed uint64) { n.pieces.Store(seed) }
+
 // Delay holds what passes back, in each direction.
 func (n *Net) Delay(d time.Duration) { n.delay.Store(int64(d)) }
 
@@ -190,32 +196,65 @@
 	if f.ours.Load() { // reset meanwhile
 		server.Close()
 	}
+	connected := f.check.connected(f.Net.server)
+	defer f.check.disconnected(connected)
 	var both sync.WaitGroup
-	both.Go(func() {
-		f.carry(f.caller, server, func(frame []byte) {
-			if !f.ended.Load() { // else it is not passed on
-				thrift.Decode(frame, (*asks)(f))
+	both.Go(func() { f.passRequests(server) })
+	both.Go(func() { f.passReplies(server) })
+	both.Wait()
+	f.caller.Close()
+}
+
+// passRequests carries what the caller says.
+func (f *flow) passRequests(server net.Conn) {
+	var owed []int32 // of the bytes that are being written
+	look := func(frame []byte) {
+		q, err := readRequest(frame)
+		if f.check.asked(f, q, err) {
+			owed = append(owed, q.seq)
+		}
+	}
+	err := f.carry(f.caller, server, lookout{message: look}, func(b []byte) error {
+		err := f.writePieces(server, b)
+		for _, seq := range owed {
+			if err != nil {
+				f.check.Unwritten(f, seq)
 			}
-		}, nil)
-		f.ours.Store(true) // the caller's side ended first, or the server's had and says so itself
-		server.Close()
-		f.discard()
-	})
-	both.Go(func() {
-		f.carry(server, f.caller, func(frame []byte) {
-			f.spoke.Store(true)
-			thrift.DecodeAnswer(frame, (*answers)(f))
-		}, &f.trickle)
-		f.ended.Store(true)
-		f.check.Ended(f, f.ours.Load())
-		if half, ok := f.caller.(*net.TCPConn); ok {
-			half.CloseWrite()
 		}
-		f.caller.SetReadDeadline(time.Now().Add(discardTime))
-		server.Close()
+		owed = owed[:0]
+		return err
 	})
-	both.Wait()
-	f.caller.Close()
+	if err == errWrite { // the app server has ended the connection; what it said before is still passed on
+		f.discard()
+		return
+	}
+	f.ours.Store(true) // the caller's side ended first, or the app server's had and says so itself
+	server.Close()
+	f.discard()
+}
+
+// passReplies carries what the app server says.
+func (f *flow) passReplies(server net.Conn) {
+	look := lookout{
+		message: func(frame []byte) {
+			a, err := readReply(frame)
+			f.check.replied(f, a, err)
+		},
+		garbage: func(err error) {
+			f.check.report(1, "%s says what no router can read: %v", f.Net.server, err)
+		},
+	}
+	err := f.carry(server, f.caller, look, f.writeTrickle)
+	if err == errWrite {
+		f.ours.Store(true) // the caller is gone
+	}
+	f.ended.Store(true)
+	f.check.Ended(f, f.ours.Load())
+	if half, ok := f.caller.(*net.TCPConn); ok {
+		half.CloseWrite()
+	}
+	f.caller.SetReadDeadline(time.Now().Add(discardTime))
+	server.Close()
 }
 
 // discardTime is how long a caller is read on after its app server has ended the connection.
@@ -228,72 +267,131 @@
 	io.Copy(io.Discard, f.caller)
 }
 
-// carry moves whole frames as they come, told to look before they go on.
-func (f *flow) carry(from, to net.Conn, look func([]byte), trickle *atomic.Int64) {
-	in := readbuffer.New(thrift.MaxFrame + 4)
+// lookout is told of what passes in one direction.
+type lookout struct {
+	message func(frame []byte)
+	garbage func(err error) // once, of what is no frame; nil for nobody
+}
+
+// errWrite and errRead are why carry ended: by whose side.
+var (
+	errWrite = errors.New("the receiver has ended the connection")
+	errRead  = errors.New("the sender has ended the connection")
+)
+
+// carry moves bytes as they come until one side ends, and tells of each message before its last byte goes on.
+func (f *flow) carry(from, to net.Conn, look lookout, write func([]byte) error) error {
+	chunk := make([]byte, 16<<10)
+	var seen []byte // of a message that is not whole yet
+	garbled := false
 	for {
-		frame, size, err := thrift.Frame(in.Bytes())
-		if err != nil {
-			return
-		}
-		if size == 0 {
-			if err := in.Fill(from); err != nil {
-				return
+		n, err := from.Read(chunk)
+		if n > 0 {
+			if d := f.delay.Load(); d > 0 {
+				time.Sleep(time.Duration(d))
+			}
+			if !garbled {
+				if seen, err = lookThrough(append(seen, chunk[:n]...), look); err != nil {
+					garbled, seen = true, nil
+				}
+			}
+			if write(chunk[:n]) != nil {
+				return errWrite
 			}
 			continue
 		}
-		if d := f.delay.Load(); d > 0 {
-			time.Sleep(time.Duration(d))
-		}
-		look(frame)
-		whole := in.Bytes()[:size]
-		step := len(whole)
-		if trickle != nil && trickle.Load() > 0 {
-			step = int(trickle.Load())
+		if err != nil {
+			return errRead
 		}
-		for len(whole) > 0 {
-			n := min(step, len(whole))
-			if _, err := to.Write(whole[:n]); err != nil {
-				return
-			}
-			if whole = whole[n:]; len(whole) > 0 {
-				time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// lookThrough tells of all whole messages and returns what is left.
+func lookThrough(seen []byte, look lookout) (rest []byte, err error) {
+	for {
+		frame, size, err := thrift.Frame(seen)
+		if err != nil {
+			if look.garbage != nil {
+				look.garbage(err)
 			}
+			return nil, err
+		}
+		if size == 0 {
+			return seen, nil
 		}
-		in.Take(size)
+		look.message(frame)
+		seen = seen[size:]
 	}
 }
 
-// asks tells the checker what callers say.
-type asks flow
+// trickleGap lies between two pieces under Trickle.
+const trickleGap = 10 * time.Millisecond
 
-func (a *asks) Execute(seq int32, _, _ []byte, _ int, recv, ttl, _ float64, again bool, _, body []byte) {
-	due := recv + ttl
-	whole, part := math.Modf(due)
-	if id, work, ok := ReadBody(body); ok {
-		if a.arrivals != nil {
-			a.arrivals.Add(time.Now(), work)
+// writeTrickle writes to the caller, a few bytes at a time if Trickle says so.
+func (f *flow) writeTrickle(b []byte) error {
+	step := int(f.trickle.Load())
+	if step <= 0 {
+		return f.writePieces(f.caller, b)
+	}
+	for len(b) > 0 {
+		n := min(step, len(b))
+		if err := f.write(f.caller, b[:n]); err != nil {
+			return err
+		}
+		if b = b[n:]; len(b) > 0 {
+			time.Sleep(trickleGap)
 		}
-		a.check.Try(a.Net.server, (*flow)(a), seq, id, time.Unix(int64(whole), int64(part*1e9)), again)
 	}
+	return nil
 }
 
-func (a *asks) Unreadable(int32, string) {}
-func (a *asks) Check(int32)              {}
-func (a *asks) Unknown(int32, string)    {}
-func (a *asks) Interrupt(target int32)   { a.check.Interrupted((*flow)(a), target) }
-
-// answers tells the checker what the app server says.
-type answers flow
+// mostPieces bounds into how many pieces one chunk is split, so that the gaps do not add up.
+const mostPieces = 8
 
-func (a *answers) Served(seq int32, _ []byte, _ float64) {
-	a.check.Answered((*flow)(a), seq, rpc.OK, false, 0)
+// writePieces writes to one side, in pieces if Pieces says so.
+func (f *flow) writePieces(to net.Conn, b []byte) error {
+	seed := f.pieces.Load()
+	if seed == 0 {
+		return f.write(to, b)
+	}
+	chance := rand.New(rand.NewPCG(seed, f.wrote.Add(1)))
+	for left := mostPieces; len(b) > 0; left-- {
+		n := len(b)
+		if left > 1 {
+			n = 1 + chance.IntN(len(b))
+		}
+		if err := f.write(to, b[:n]); err != nil {
+			return err
+		}
+		if b = b[n:]; len(b) > 0 {
+			time.Sleep(pieceGap)
+		}
+	}
+	return nil
 }
-func (a *answers) PushedBack(seq int32, last bool, after, _ float64) {
-	a.check.Answered((*flow)(a), seq, rpc.PushedBack, last, time.Duration(after*float64(time.Second)))
+
+// unreadAfter is when a write that does not come back shows that the caller does not read.
+const unreadAfter = 50 * time.Millisecond
+
+// write writes to one side, and takes note of when one to the caller began.
+func (f *flow) write(to net.Conn, b []byte) error {
+	if to != f.caller {
+		_, err := to.Write(b)
+		return err
+	}
+	began := time.Now()
+	f.writing.Store(began.UnixNano())
+	_, err := to.Write(b)
+	f.writing.Store(0)
+	if time.Since(began) > unreadAfter {
+		f.unread.Store(true)
+	}
+	return err
 }
-func (a *answers) Aborted(seq int32, _ string, _ float64) {
-	a.check.Answered((*flow)(a), seq, rpc.Error, false, 0)
+
+// callerUnread reports whether the caller has not read what was written to it: what its app server says behind that comes
+// late, or not at all, through no fault of the app server.
+func (f *flow) callerUnread() bool {
+	began := f.writing.Load()
+	return f.unread.Load() || began > 0 && time.Since(time.Unix(0, began)) > unreadAfter
 }
-func (a *answers) Checked(int32, bool, float64) {}
-func (a *answers) Draining()                    {}
--- a/rig/outage.go
+++ b/rig/outage.go
@@ -55,7 +55,7 @@
 // dropLink is called under the lock.
 func (k *Kernel) dropLink() {
 	if k.link != nil {
-		k.link.Close()
+		k.link.close()
 		k.link = nil
 	}
 }
--- a/rig/program.go
+++ b/rig/program.go
@@ -211,7 +211,7 @@
 			f.Close()
 			return nil, err
 		}
-		kernel.coldStart = site.Cold
+		kernel.config.Cold = site.Cold
 		address, err := freePort()
 		if err != nil {
 			f.Close()
