--- a/rig/check.go
+++ b/rig/check.go
@@ -22,10 +22,10 @@
 // (Up, Notice, Killed, Exited). It is safe for use by many goroutines.
 //
 // An RPC is excused from its final answer by its own caller's interrupt or end or by its not reading, by a reset on the
-// routers' side and by the kill of its process, and by nothing else: trouble of the kernel, of the roster or with other clients excuses nothing. An
-// app server that ends a connection has lost what was written on it and has no answer, on a new connection too: it may have
-// been read. What was provably never read is what could not be written, because the connection was refused or was reset
-// before the last byte of the request.
+// routers' side and by the kill of its process, and by nothing else: trouble of the kernel, of the roster or with other
+// clients excuses nothing. An app server that ends a connection has lost what was written on it and has no answer, on a new
+// connection too: it may have been read. What was provably never read is what could not be written, because the connection
+// was refused or was reset before the last byte of the request.
 type Checker struct {
 	mu         sync.Mutex
 	rpcs       map[string]*askedRPC
@@ -191,7 +191,6 @@
 			}
 		}
 	}
-	c.finishCrossed()
 }
 
 // Paused tells that the rig has stopped its process, or starves it, or lets it go on: what it answers late meanwhile is
@@ -230,6 +229,14 @@
 	s.up, s.ended = false, time.Now()
 }
 
+// lives reports whether the process of an app server has been started and has not ended, or ended a moment ago.
+func (c *Checker) lives(server string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := c.servers[server]
+	return s != nil && (s.up || time.Since(s.ended) <= c.slack)
+}
+
 // Memory tells what it takes, against its limit.
 func (c *Checker) Memory(server string, bytes, limit int64) {
 	c.mu.Lock()
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -39,6 +39,9 @@
 	cold    bool // it has been restarted, and there is a cold start
 	usage   coreUsage
 	crowded bool // so many runs that it broke the rule, which is said once
+
+	fullSince time.Time // when more memory began to be booked than there is, the zero time if there is enough
+	overran   bool      // that broke the rule, which is said once
 }
 
 // NewKernel listens on a free port. It stops runs on PREEMPT and has no gauges.
@@ -99,6 +102,7 @@
 	k.runs, k.notices = map[string]*run{}, nil
 	k.looked, k.began = time.Now(), time.Now()
 	k.usage, k.crowded = coreUsage{}, false
+	k.fullSince, k.overran = time.Time{}, false
 	k.cold = k.config.Cold.Ramp > 0
 	k.dropLink()
 }
--- a/rig/kernel_commands.go
+++ b/rig/kernel_commands.go
@@ -71,10 +71,10 @@
 func (k *Kernel) notACommand(link *kernelLink, line []byte, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.link == link {
+	k.violate(1, "wrote to its kernel %.200q: %v", line, err)
+	if link != nil && k.link == link {
 		k.dropLink()
 	}
-	k.violate(1, "wrote to its kernel %.200q: %v", line, err)
 }
 
 // open takes a connection for the link, in place of the one before; nil if a later one has come meanwhile.
--- a/rig/kernel_gauges.go
+++ b/rig/kernel_gauges.go
@@ -18,6 +18,7 @@
 	}
 	k.pass()
 	k.dropPaused()
+	k.judgeMemory()
 	meters := []float64{}
 	for _, name := range k.config.Gauges {
 		meters = append(meters, k.gauge(name))
@@ -108,3 +109,37 @@
 		k.violate(4, "%.1f runs on the cores in the mean over %v, which bear %.1f", mean, c.Window, most)
 	}
 }
+
+// bookedTooLong is how long more memory may be booked than there is before that is a violation: an answer is seen by the
+// network a little after the app server has given it.
+const bookedTooLong = 50 * time.Millisecond
+
+// judgeMemory finds that more memory is booked than there is.
+func (k *Kernel) judgeMemory() {
+	if k.overbooked() == 0 {
+		k.fullSince = time.Time{}
+		return
+	}
+	if k.fullSince.IsZero() {
+		k.fullSince = time.Now()
+		time.AfterFunc(bookedTooLong, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.judgeMemory()
+		})
+		return
+	}
+	if over := k.overbooked(); !k.overran && time.Since(k.fullSince) >= bookedTooLong {
+		k.overran = true
+		k.violate(4, "books %.0f KB more than the %.0f KB that there are", over, k.config.Memory.KB)
+	}
+}
+
+// overbooked is how many KB more are booked than there are.
+func (k *Kernel) overbooked() float64 {
+	m := k.config.Memory
+	if m.KB <= 0 {
+		return 0
+	}
+	return max(k.check.bookedKB(k.server, m.RunFactor)-m.KB, 0)
+}
--- a/rig/kernel_runs.go
+++ b/rig/kernel_runs.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 	if k.config.Backend.counts(lane) {
 		k.config.Backend.add(k.server, 1)
 	}
+	k.judgeMemory()
 	k.set()
 }
 
@@ -107,10 +109,7 @@
 	defer k.mu.Unlock()
 	k.pass()
 	k.dropPaused()
-	for _, r := range k.runs {
-		if r.paused || r.left > 0 {
-			continue
-		}
+	for _, r := range k.done() {
 		if r.order.entry.Fails {
 			k.end(r, "fault", nil)
 			continue
@@ -120,6 +119,18 @@
 	k.set()
 }
 
+// done are the runs whose work is done, in the order in which they began.
+func (k *Kernel) done() []*run {
+	var all []*run
+	for _, r := range k.runs {
+		if !r.paused && r.left <= 0 {
+			all = append(all, r)
+		}
+	}
+	slices.SortFunc(all, func(a, b *run) int { return a.began.Compare(b.began) })
+	return all
+}
+
 // warmingStep is between looks while the speed rises.
 const warmingStep = 10 * time.Millisecond
 
--- /dev/null
+++ b/rig/kernel_test.go
@@ -0,0 +1,375 @@
+package rig
+
+import (
+	"bufio"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"valveglade/rpc"
+)
+
+// testLink is an app server's end of a kernel link.
+type testLink struct {
+	t  *testing.T
+	nc net.Conn
+	in *bufio.Reader
+}
+
+// testNotice is one line of the kernel.
+type testNotice struct {
+	Action, UID, Code, Echo string
+	Pos                     int
+	Content                 []byte
+	Meters                  []float64
+}
+
+// patienceOfTests bounds each wait of these tests.
+const patienceOfTests = 10 * time.Second
+
+// dialKernel connects and reads BOOTED.
+func dialKernel(t *testing.T, k *Kernel, pos int) *testLink {
+	t.Helper()
+	nc, err := net.Dial("tcp", k.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	l := &testLink{t: t, nc: nc, in: bufio.NewReader(nc)}
+	l.say(`{"action":"OPEN","pos":%d}`, pos)
+	if n := l.hear(); n.Action != "BOOTED" {
+		t.Fatalf("%+v in place of BOOTED", n)
+	}
+	return l
+}
+
+func (l *testLink) say(format string, args ...any) {
+	l.t.Helper()
+	if _, err := fmt.Fprintf(l.nc, format+"\n", args...); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+func (l *testLink) sched(call, method string, body []byte) {
+	l.t.Helper()
+	l.say(`{"action":"SCHED","uid":"%s","lane":"%s","content":"%s"}`, call, method, base64.StdEncoding.EncodeToString(body))
+}
+
+// line reads one line as it is.
+func (l *testLink) line() (string, error) {
+	l.nc.SetReadDeadline(time.Now().Add(patienceOfTests))
+	return l.in.ReadString('\n')
+}
+
+func (l *testLink) hear() (n testNotice) {
+	l.t.Helper()
+	line, err := l.line()
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	if err := json.Unmarshal([]byte(line), &n); err != nil {
+		l.t.Fatalf("%q: %v", line, err)
+	}
+	return n
+}
+
+// sync waits until all that was said before has been read, and returns the gauges.
+func (l *testLink) sync(echo string) []float64 {
+	l.t.Helper()
+	l.say(`{"action":"SYSINFO","echo":"%s"}`, echo)
+	for {
+		if n := l.hear(); n.Action == "INFO" && n.Echo == echo {
+			return n.Meters
+		}
+	}
+}
+
+// closed waits for the end of the link.
+func (l *testLink) closed() {
+	l.t.Helper()
+	l.nc.SetReadDeadline(time.Now().Add(patienceOfTests))
+	if _, err := io.Copy(io.Discard, l.in); errors.Is(err, os.ErrDeadlineExceeded) {
+		l.t.Error("the link goes on")
+	}
+}
+
+// testTrial is a checker that judges, and a kernel for one app server.
+type testTrial struct {
+	check  *Checker
+	kernel *Kernel
+	flow   *flow // of a client
+	seq    int32
+}
+
+func newTestTrial(t *testing.T, config KernelConfig) *testTrial {
+	t.Helper()
+	c := NewChecker(50 * time.Millisecond)
+	c.Judge(Terms{Methods: map[string]MethodTerms{
+		"read":   {Kind: rpc.Idempotent, Deadline: 10 * time.Second},
+		"write":  {Kind: rpc.Tokened, Deadline: 10 * time.Second, Window: 20 * time.Second},
+		"charge": {Kind: rpc.NonIdempotent, Deadline: 10 * time.Second},
+	}})
+	c.Up("n1")
+	config.Methods = []string{"read", "write", "charge"}
+	config.Cores = max(config.Cores, 2)
+	k, err := NewConfiguredKernel("n1", config, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(k.Close)
+	return &testTrial{check: c, kernel: k, flow: &flow{Net: &Net{server: "n1", check: c}}}
+}
+
+// sent has a client send an RPC, in the ledger only.
+func (s *testTrial) sent(call, method, token string, body []byte, work float64) {
+	s.check.terms.Catalog.Add(call, Entry{RPC: "rpc " + call, Work: work})
+	s.seq++
+	s.check.asked(s.flow, request{header: header{kind: messageCall, name: "execute", seq: s.seq}, body: body,
+		fields: map[string]string{"op": method, "call": call, "dedupe": token, "heap": "10",
+			"recv": fmt.Sprint(time.Now().UnixMilli()), "ttl": "10000"}}, nil)
+}
+
+// one is the only violation so far, which has to say something.
+func (s *testTrial) one(t *testing.T, rule int, what string) {
+	t.Helper()
+	all := s.check.Violations()
+	if len(all) != 1 || all[0].Rule != rule || !strings.Contains(all[0].What, what) {
+		t.Errorf("%v, and not one violation of rule %d with %q", all, rule, what)
+	}
+}
+
+func (s *testTrial) none(t *testing.T) {
+	t.Helper()
+	if all := s.check.Violations(); len(all) > 0 {
+		t.Errorf("%v", all)
+	}
+}
+
+// waitFor waits until something holds.
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patienceOfTests); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
+
+const tryA, tryB = "00000000000000aa", "00000000000000bb"
+
+// What no client has sent is not run, and found; what one has sent is, whatever bytes it consists of.
+func TestKernelChecksCommands(t *testing.T) {
+	body := []byte("\x00\xffany \n bytes")
+	for name, one := range map[string]struct {
+		say  func(l *testLink)
+		what string // of the violation; empty for none
+	}{
+		"as sent":       {func(l *testLink) { l.sched(tryA, "read", body) }, ""},
+		"another id":    {func(l *testLink) { l.sched(tryB, "read", body) }, "an id that none has"},
+		"another body":  {func(l *testLink) { l.sched(tryA, "read", body[1:]) }, "with the body"},
+		"another class": {func(l *testLink) { l.sched(tryA, "write", body) }, "in class"},
+		"no class":      {func(l *testLink) { l.sched(tryA, "red", body) }, "of which there is none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestTrial(t, KernelConfig{Preemption: PreemptDiscard})
+			s.sent(tryA, "read", "", body, 0)
+			l := dialKernel(t, s.kernel, 0)
+			one.say(l)
+			n := l.hear()
+			if one.what != "" {
+				if n.Action != "EINVAL" || n.Code != "SCHED" {
+					t.Errorf("%+v", n)
+				}
+				s.one(t, 1, one.what)
+				return
+			}
+			if n.Action != "REAP" || n.Code != "fine" || n.UID != tryA || string(n.Content) != string(Answer("rpc "+tryA)) {
+				t.Errorf("%+v", n)
+			}
+			s.none(t)
+		})
+	}
+}
+
+// A process is not told again what its predecessor was sent.
+func TestKernelLedgerOfEachProcess(t *testing.T) {
+	s := newTestTrial(t, KernelConfig{Preemption: PreemptDiscard})
+	s.sent(tryA, "read", "", nil, 0)
+	s.check.Killed("n1")
+	s.kernel.Restart()
+	s.check.Up("n1")
+	l := dialKernel(t, s.kernel, 0)
+	l.sched(tryA, "read", nil)
+	if n := l.hear(); n.Action != "EINVAL" {
+		t.Errorf("%+v", n)
+	}
+	s.one(t, 1, "no client has sent")
+}
+
+// Anything that is no command closes the link, and is found.
+func TestKernelClosesOnWhatIsNoCommand(t *testing.T) {
+	for _, line := range []string{"", "{", "null", `[]`, `{"action":"RUN"}`, `{"action":"SCHED","uid":"a","lane":"read"}`,
+		`{"action":"SCHED","uid":"a","lane":"read","content":null}`, `{"action":"SCHED","uid":"a","lane":"read","content":"?"}`,
+		`{"action":"SCHED","uid":1,"lane":"read","content":""}`, `{"action":"PREEMPT"}`, `{"action":"PREEMPT","uid":"a","more":1}`,
+		`{"Action":"PREEMPT","uid":"a"}`, `{"action":"SYSINFO","echo":7}`, `{"action":"OPEN","pos":0}`} {
+		s := newTestTrial(t, KernelConfig{Preemption: PreemptDiscard})
+		l := dialKernel(t, s.kernel, 0)
+		l.say("%s", line)
+		l.closed()
+		s.one(t, 1, "wrote to its kernel")
+	}
+	s := newTestTrial(t, KernelConfig{})
+	nc, err := net.Dial("tcp", s.kernel.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	l := &testLink{t: t, nc: nc, in: bufio.NewReader(nc)}
+	l.say(`{"action":"SYSINFO","echo":"1"}`)
+	l.closed()
+	s.one(t, 1, "before OPEN")
+}
+
+// Half a command at the end of a link has not been read, and is nobody's fault.
+func TestKernelHalfCommand(t *testing.T) {
+	s := newTestTrial(t, KernelConfig{Gauges: []string{}})
+	l := dialKernel(t, s.kernel, 0)
+	fmt.Fprint(l.nc, `{"action":"PREE`)
+	l.nc.Close()
+	dialKernel(t, s.kernel, 0).sync("1")
+	s.none(t)
+}
+
+// PREEMPT and RESCHED do what the settings name.
+func TestKernelPreemption(t *testing.T) {
+	gauges := []string{"on_cores", "heap_share"}
+	memory := BookedMemory{KB: 100, RunFactor: 4}
+	start := func(t *testing.T, preemption Preemption) (*testTrial, *testLink) {
+		s := newTestTrial(t, KernelConfig{Preemption: preemption, Gauges: gauges, Memory: memory})
+		s.sent(tryA, "read", "", nil, 3600)
+		l := dialKernel(t, s.kernel, 0)
+		l.sched(tryA, "read", nil)
+		l.sched(tryA, "read", nil) // nothing happens
+		if m := l.sync("1"); !slices.Equal(m, []float64{1, 0.4}) {
+			t.Errorf("gauges %v while it runs", m)
+		}
+		return s, l
+	}
+	t.Run("none", func(t *testing.T) {
+		s, l := start(t, PreemptNone)
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryA)
+		if n := l.hear(); n.Action != "EINVAL" || n.Code != "PREEMPT" || n.UID != tryA {
+			t.Errorf("%+v", n)
+		}
+		s.one(t, 1, "do not allow")
+	})
+	t.Run("discard", func(t *testing.T) {
+		s, l := start(t, PreemptDiscard)
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryA)
+		if n := l.hear(); n.Action != "REAP" || n.Code != "broken_off" {
+			t.Errorf("%+v", n)
+		}
+		if m := l.sync("2"); m[0] != 0 || m[1] > 0.1 {
+			t.Errorf("gauges %v after it", m)
+		}
+		s.none(t)
+		l.say(`{"action":"RESCHED","uid":"%s"}`, tryA)
+		if n := l.hear(); n.Action != "EINVAL" || n.Code != "RESCHED" {
+			t.Errorf("%+v", n)
+		}
+		s.one(t, 1, "do not allow")
+	})
+	t.Run("freeze", func(t *testing.T) {
+		s, l := start(t, PreemptFreeze)
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryA)
+		if n := l.hear(); n.Action != "REAP" || n.Code != "broken_off" {
+			t.Errorf("%+v", n)
+		}
+		if m := l.sync("2"); !slices.Equal(m, []float64{0, 0.4}) {
+			t.Errorf("gauges %v while it is paused", m)
+		}
+		l.say(`{"action":"RESCHED","uid":"%s"}`, tryA)
+		if m := l.sync("3"); !slices.Equal(m, []float64{1, 0.4}) {
+			t.Errorf("gauges %v while it goes on", m)
+		}
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryA)
+		l.hear()
+		s.check.Answered(s.flow, 1, rpc.Error, false, 0)
+		if m := l.sync("4"); !slices.Equal(m, []float64{0, 0}) {
+			t.Errorf("gauges %v once its request is over", m)
+		}
+		l.sched(tryA, "read", nil)
+		if n := l.hear(); n.Action != "REAP" || n.Code != "late" {
+			t.Errorf("%+v", n)
+		}
+		s.none(t)
+	})
+	t.Run("freeze, resumed to its end", func(t *testing.T) {
+		s := newTestTrial(t, KernelConfig{Preemption: PreemptFreeze, Gauges: gauges})
+		s.sent(tryA, "read", "", nil, 0.05)
+		l := dialKernel(t, s.kernel, 0)
+		s.kernel.Slow(1e6) // it does not end before it is paused
+		l.sched(tryA, "read", nil)
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryA)
+		l.hear()
+		s.kernel.Slow(1)
+		l.say(`{"action":"RESCHED","uid":"%s"}`, tryA)
+		if n := l.hear(); n.Code != "fine" || n.Pos != 2 {
+			t.Errorf("%+v", n)
+		}
+		s.none(t)
+	})
+	t.Run("of what nobody sent", func(t *testing.T) {
+		s := newTestTrial(t, KernelConfig{Preemption: PreemptDiscard})
+		l := dialKernel(t, s.kernel, 0)
+		l.say(`{"action":"PREEMPT","uid":"%s"}`, tryB)
+		if n := l.hear(); n.Action != "EINVAL" {
+			t.Errorf("%+v", n)
+		}
+		s.one(t, 1, "no client has sent")
+	})
+}
+
+// Without gauges SYSINFO is not carried out, which is nobody's fault.
+func TestKernelWithoutGauges(t *testing.T) {
+	s := newTestTrial(t, KernelConfig{})
+	l := dialKernel(t, s.kernel, 0)
+	l.say(`{"action":"SYSINFO","echo":"1"}`)
+	if n := l.hear(); n.Action != "EINVAL" || n.Code != "SYSINFO" {
+		t.Errorf("%+v", n)
+	}
+	s.none(t)
+}
+
+// More memory than there is, and more runs than the cores bear, are found.
+func TestKernelLimits(t *testing.T) {
+	for name, one := range map[string]struct {
+		config KernelConfig
+		what   string
+	}{
+		"memory": {KernelConfig{Memory: BookedMemory{KB: 70, RunFactor: 4}}, "KB"},
+		"cores":  {KernelConfig{Cores: 2, Crowding: Crowding{Factor: 0.4, Window: 50 * time.Millisecond}}, "on the cores"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			one.config.Gauges = []string{}
+			s := newTestTrial(t, one.config)
+			l := dialKernel(t, s.kernel, 0)
+			for _, call := range []string{tryA, tryB} {
+				s.sent(call, "read", "", nil, 3600)
+				l.sched(call, "read", nil)
+			}
+			for end := time.Now().Add(patienceOfTests); len(s.check.Violations()) == 0 && time.Now().Before(end); {
+				l.sync("1")
+			}
+			s.one(t, 4, one.what)
+		})
+	}
+}
--- /dev/null
+++ b/rig/process_health.go
@@ -0,0 +1,78 @@
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"syscall"
+	"time"
+
+	"valveglade/internal/thrift"
+)
+
+// ErrSpins is wrapped by the errors of processes that use the processor although there is nothing to do.
+var ErrSpins = errors.New("the process uses the processor at rest")
+
+// ErrStopIgnored is wrapped by the errors of processes that do not end on SIGTERM.
+var ErrStopIgnored = errors.New("the process ignores its stop")
+
+// Resting returns an error if the process takes more than a share of one core over a quiet second in which nobody asks it for
+// anything. A process that has ended rests.
+func (p *Process) Resting(over time.Duration, most float64) error {
+	before, began := p.CPU(), time.Now()
+	time.Sleep(over)
+	if !p.Running() {
+		return nil
+	}
+	if used := (p.CPU() - before).Seconds() / time.Since(began).Seconds(); used > most {
+		return fmt.Errorf("%w: %.2f of a core over %v", ErrSpins, used, over)
+	}
+	return nil
+}
+
+// StopWithin sends SIGTERM and returns an error if the process has not ended by itself in that time, or has ended with
+// another code than 0. It is killed then.
+func (p *Process) StopWithin(within time.Duration) error {
+	began := time.Now()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.ended():
+	case <-time.After(within):
+		p.kill()
+		return fmt.Errorf("%w: it ran on %v after SIGTERM", ErrStopIgnored, within)
+	}
+	if code := p.ExitCode(); code != 0 {
+		return fmt.Errorf("the process ended with code %d %v after SIGTERM", code, time.Since(began).Round(time.Millisecond))
+	}
+	return nil
+}
+
+// ExitCode is that of a process that has ended: -1 where a signal ended it, or while it has not.
+func (p *Process) ExitCode() int {
+	if p.Running() {
+		return -1
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.ProcessState.ExitCode()
+}
+
+// ErrAnswersNobody is wrapped by the errors of app servers that take connections and say nothing.
+var ErrAnswersNobody = errors.New("the app server answers nobody")
+
+// Probe sends one health check to an app server and returns an error if no answer comes in time.
+func Probe(address string, within time.Duration) error {
+	nc, err := net.DialTimeout("tcp", address, within)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrAnswersNobody, err)
+	}
+	defer nc.Close()
+	nc.SetDeadline(time.Now().Add(within))
+	if _, err := nc.Write(thrift.Check(nil, 1)); err != nil {
+		return fmt.Errorf("%w: %w", ErrAnswersNobody, err)
+	}
+	if _, err := nc.Read(make([]byte, 1)); err != nil {
+		return fmt.Errorf("%w: %w", ErrAnswersNobody, err)
+	}
+	return nil
+}
--- a/rig/roster.go
+++ b/rig/roster.go
@@ -1,6 +1,8 @@
 package rig
 
 import (
+	"errors"
+	"fmt"
 	"net"
 	"strings"
 	"sync"
@@ -15,6 +17,8 @@
 	mu    sync.Mutex
 	conn  net.PacketConn // nil while the roster is down
 	heard map[string]time.Time
+	check *Checker        // nil unless Judge
+	names map[string]bool // that processes have
 	group sync.WaitGroup
 }
 
@@ -67,6 +71,17 @@
 	return at, ok
 }
 
+// Judge has each report checked: its form, and that it comes from a process of one of these names that lives. A process has
+// the name under which the checker is told of it.
+func (r *Roster) Judge(check *Checker, names ...string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.check, r.names = check, map[string]bool{}
+	for _, name := range names {
+		r.names[name] = true
+	}
+}
+
 // Forget drops what was heard from one app server, as when its process is killed.
 func (r *Roster) Forget(name string) {
 	r.mu.Lock()
@@ -79,7 +94,7 @@
 	r.conn = conn
 	r.mu.Unlock()
 	r.group.Go(func() {
-		buffer := make([]byte, 256)
+		buffer := make([]byte, 64<<10)
 		for {
 			n, _, err := conn.ReadFrom(buffer)
 			if err != nil {
@@ -92,13 +107,45 @@
 
 // hear records one report, "HERE name on" or "HERE name off".
 func (r *Roster) hear(report string) {
-	words := strings.Fields(report)
-	if len(words) != 3 || words[0] != "HERE" {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if _, known := r.heard[words[1]]; !known && words[2] == "on" {
-		r.heard[words[1]] = time.Now()
+	name, on, err := parseReport(report)
+	if r.check != nil {
+		r.judge(report, name, err)
+	}
+	if err != nil {
+		return
+	}
+	if _, known := r.heard[name]; !known && on {
+		r.heard[name] = time.Now()
+	}
+}
+
+// errNoReport is wrapped by the errors of datagrams that are no report.
+var errNoReport = errors.New("no report")
+
+// parseReport reads the three words of a report.
+func parseReport(report string) (name string, on bool, err error) {
+	words := strings.Split(report, " ")
+	switch {
+	case len(words) != 3:
+		return "", false, fmt.Errorf("%w: %d words", errNoReport, len(words))
+	case words[0] != "HERE":
+		return "", false, fmt.Errorf("%w: it begins with %q", errNoReport, words[0])
+	case words[2] != "on" && words[2] != "off":
+		return "", false, fmt.Errorf("%w: it ends with %q", errNoReport, words[2])
+	}
+	return words[1], words[2] == "on", nil
+}
+
+// judge is called under the lock.
+func (r *Roster) judge(report, name string, err error) {
+	switch {
+	case err != nil:
+		r.check.report(1, "a datagram to the roster %.80q: %v", report, err)
+	case !r.names[name]:
+		r.check.report(1, "a report to the roster in the name of %q, which nobody has", name)
+	case !r.check.lives(name):
+		r.check.report(1, "a report to the roster from %s, which has ended", name)
 	}
 }
--- a/rig/stub.go
+++ b/rig/stub.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +14,8 @@
 type Heard struct {
 	Seq                  int32
 	Method, Token, ID    string
+	Call                 string
+	Body                 []byte
 	Recv, TTL            float64
 	Again                bool
 	Conn                 int // number of the connection, from 1
@@ -181,9 +184,10 @@
 	}
 }
 
-func (c *stubConn) Execute(seq int32, op, _ []byte, _ int, recv, ttl, _ float64, again bool, token, body []byte) {
+func (c *stubConn) Execute(seq int32, op, call []byte, _ int, recv, ttl, _ float64, again bool, token, body []byte) {
 	id, _, _ := ReadBody(body)
-	c.hear(Heard{Seq: seq, Method: string(op), Token: string(token), ID: id, Recv: recv, TTL: ttl, Again: again})
+	c.hear(Heard{Seq: seq, Method: string(op), Token: string(token), ID: id, Call: string(call), Body: slices.Clone(body),
+		Recv: recv, TTL: ttl, Again: again})
 }
 func (c *stubConn) Unreadable(int32, string) {}
 func (c *stubConn) Interrupt(target int32)   { c.hear(Heard{Seq: target, Interrupt: true}) }
