rig: faults planted in a stub app server are each found by the judge

A body of another RPC, an altered method, an id of nobody, a second run, a lost, a second and a needless answer, an altered result, PREEMPT under none, a run past the grace, a close over a read request on a new connection, a spin, an ignored stop and silence.

--- /dev/null
+++ b/rig/judge_test.go
@@ -0,0 +1,417 @@
+package rig
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"valveglade/internal/thrift"
+)
+
+// stubServer is an app server that does what a test has it do, over the wire: behind the network for its clients, with a link
+// to its kernel.
+type stubServer struct {
+	*testTrial
+	*Stub
+	t      *testing.T
+	link   *testLink
+	net    *Net
+	client net.Conn
+	number int32
+}
+
+func newStubServer(t *testing.T, config KernelConfig) *stubServer {
+	t.Helper()
+	s := &stubServer{testTrial: newTestTrial(t, config), t: t}
+	stub, err := NewStub(func(h Heard, out []byte) []byte { return s.honest(h, out) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stub.Close)
+	s.Stub = stub
+	if s.net, err = NewNet("n1", stub.Address(), s.check); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.net.Close)
+	s.link = dialKernel(t, s.kernel, 0)
+	s.connect()
+	return s
+}
+
+// connect opens a new connection of the client.
+func (s *stubServer) connect() {
+	s.t.Helper()
+	nc, err := net.Dial("tcp", s.net.Address())
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { nc.Close() })
+	s.client, s.number = nc, 0
+}
+
+// honest runs an RPC and serves it with the result.
+func (s *stubServer) honest(h Heard, out []byte) []byte {
+	return thrift.Served(out, h.Seq, s.run(h.Call, h.Method, h.Body), 1)
+}
+
+// run has the kernel run something and returns the result, nil if it did not run.
+func (s *stubServer) run(call, method string, body []byte) []byte {
+	s.link.sched(call, method, body)
+	return s.link.hear().Content
+}
+
+// call has the client send one try, due in so long.
+func (s *stubServer) call(call, method, token string, body []byte, ttl time.Duration) {
+	s.t.Helper()
+	s.check.terms.Catalog.Add(call, Entry{RPC: "rpc " + token + string(body), Result: []byte("made by " + call)})
+	s.number++
+	now := float64(time.Now().UnixMilli()) / 1000
+	frame := thrift.Execute(nil, s.number, method, call, 1, now, ttl.Seconds(), 10, 0.5, false, token, "", body)
+	if _, err := s.client.Write(frame); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// answered reads whatever comes next.
+func (s *stubServer) answered() {
+	s.t.Helper()
+	s.client.SetReadDeadline(time.Now().Add(patienceOfTests))
+	if _, err := s.client.Read(make([]byte, 4096)); err != nil {
+		s.t.Fatal(err)
+	}
+}
+
+// found waits for the violation.
+func (s *stubServer) found(rule int, what string) {
+	s.t.Helper()
+	waitFor(s.t, "a violation: "+what, func() bool { return len(s.check.Violations()) > 0 })
+	s.one(s.t, rule, what)
+}
+
+const long = 10 * time.Second
+
+// An app server that does as it should breaks no rule, also where a tokened RPC comes again.
+func TestJudgeHonest(t *testing.T) {
+	s := newStubServer(t, KernelConfig{Preemption: PreemptNone})
+	results := map[string][]byte{}
+	s.Behave(func(h Heard, out []byte) []byte {
+		switch {
+		case h.CheckOnly:
+			return thrift.Checked(out, h.Seq, true, 1)
+		case h.Interrupt:
+			return out
+		case h.Method == "read":
+			return thrift.PushedBack(out, h.Seq, true, 0.2, 1)
+		case results[h.Token] != nil:
+			return thrift.Served(out, h.Seq, results[h.Token], 1)
+		}
+		results[h.Token] = s.run(h.Call, h.Method, h.Body)
+		return thrift.Served(out, h.Seq, results[h.Token], 1)
+	})
+	for k, method := range []string{"write", "write", "charge", "read"} {
+		token := map[string]string{"write": "token"}[method]
+		s.call(fmt.Sprintf("%016x", k), method, token, []byte("\x00 any"), long)
+		s.answered()
+	}
+	s.number++
+	s.client.Write(thrift.Check(nil, s.number))
+	s.answered()
+	s.check.Finish()
+	s.none(t)
+}
+
+// Each fault that is planted in an app server is found, and nothing beside it.
+func TestJudgeFindsPlanted(t *testing.T) {
+	for name, plant := range map[string]struct {
+		behave func(s *stubServer, h Heard, out []byte) []byte
+		rule   int
+		what   string
+	}{
+		"a body of another RPC": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.run(h.Call, h.Method, []byte("another"))
+			return thrift.Aborted(out, h.Seq, 1)
+		}, 1, "with the body"},
+		"an altered method": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.run(h.Call, "charge", h.Body)
+			return thrift.Aborted(out, h.Seq, 1)
+		}, 1, "in class"},
+		"an RPC that no client sent": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.run(tryB, h.Method, h.Body)
+			return thrift.Aborted(out, h.Seq, 1)
+		}, 1, "an id that none has"},
+		"a second run": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.run(h.Call, h.Method, h.Body)
+			return s.honest(h, out)
+		}, 2, "a second time"},
+		"two answers": {func(s *stubServer, h Heard, out []byte) []byte {
+			out = s.honest(h, out)
+			return thrift.Aborted(out, h.Seq, 1)
+		}, 2, "two answers"},
+		"an answer to nobody": {func(s *stubServer, h Heard, out []byte) []byte {
+			return thrift.Aborted(s.honest(h, out), h.Seq+1, 1)
+		}, 1, "not asked"},
+		"a health check that nobody asked for": {func(s *stubServer, h Heard, out []byte) []byte {
+			return thrift.Checked(s.honest(h, out), h.Seq+1, true, 1)
+		}, 1, "not asked"},
+		"a result of no run": {func(s *stubServer, h Heard, out []byte) []byte {
+			return thrift.Served(out, h.Seq, []byte("made by "+h.Call), 1)
+		}, 1, "no run of it made"},
+		"a result that is altered": {func(s *stubServer, h Heard, out []byte) []byte {
+			return thrift.Served(out, h.Seq, s.run(h.Call, h.Method, h.Body)[1:], 1)
+		}, 1, "no run of it made"},
+		"pushed back once run": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.run(h.Call, h.Method, h.Body)
+			return thrift.PushedBack(out, h.Seq, false, 0, 1)
+		}, 2, "where it had been run"},
+		"an answer that cannot be read": {func(s *stubServer, h Heard, out []byte) []byte {
+			whole := s.honest(h, nil)
+			whole[len(whole)-1] = 8 // in place of the end
+			return append(out, whole...)
+		}, 1, "no router can read"},
+		"an answer of no length": {func(s *stubServer, h Heard, out []byte) []byte {
+			return append(s.honest(h, out), 0xff, 0xff, 0xff, 0xff)
+		}, 1, "no router can read"},
+		"a load that is no number": {func(s *stubServer, h Heard, out []byte) []byte {
+			whole := s.honest(h, out)
+			return []byte(strings.Replace(string(whole), "load\x00\x00\x00\x011", "load\x00\x00\x00\x01x", 1))
+		}, 1, "load"},
+		"a run that may not be stopped": {func(s *stubServer, h Heard, out []byte) []byte {
+			out = s.honest(h, out)
+			s.link.say(`{"action":"PREEMPT","uid":"%s"}`, h.Call)
+			s.link.hear()
+			return out
+		}, 1, "do not allow"},
+		"what is no command": {func(s *stubServer, h Heard, out []byte) []byte {
+			out = s.honest(h, out)
+			s.link.say(`{"action":"SCHED"}`)
+			return out
+		}, 1, "wrote to its kernel"},
+		"a close over a read request on a new connection": {func(s *stubServer, h Heard, out []byte) []byte {
+			s.Cut()
+			return out
+		}, 1, "without an answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStubServer(t, KernelConfig{Preemption: PreemptNone})
+			s.Behave(func(h Heard, out []byte) []byte { return plant.behave(s, h, out) })
+			s.call(tryA, "write", "token", []byte("body of A"), long)
+			s.found(plant.rule, plant.what)
+		})
+	}
+}
+
+// An RPC that is never answered is found once its deadline is over.
+func TestJudgeFindsLost(t *testing.T) {
+	s := newStubServer(t, KernelConfig{})
+	s.Behave(func(h Heard, out []byte) []byte { return out })
+	s.call(tryA, "read", "", nil, time.Millisecond)
+	waitFor(t, "the lost answer", func() bool { s.check.Finish(); return len(s.check.Violations()) > 0 })
+	s.one(t, 1, "never answered")
+}
+
+// A process that was stopped owes its answers once it goes on.
+func TestJudgeFindsLostAfterPause(t *testing.T) {
+	s := newTestTrial(t, KernelConfig{})
+	s.check.Try("n1", s.flow, 1, "a", time.Now(), false) // not asked for, and so not judged
+	s.sent(tryA, "read", "", nil, 0)
+	tries := s.check.tries[s.flow]
+	tries[1].due = time.Now().Add(-time.Hour)
+	s.check.Paused("n1", true)
+	s.check.Finish()
+	s.none(t)
+	s.check.Paused("n1", false)
+	s.check.Finish()
+	s.none(t) // a moment to catch up
+	s.check.servers["n1"].resumed = time.Now().Add(-2 * resumeTime)
+	s.check.Finish()
+	s.one(t, 1, "never answered")
+}
+
+// A tokened RPC may run again once its window is over, and not before; the window counts from the arrival of the try that ran.
+func TestJudgeWindow(t *testing.T) {
+	for name, one := range map[string]struct {
+		later time.Duration // of the second try
+		token string
+		what  string
+	}{
+		"within":        {19 * time.Second, "token", "before the end of its window"},
+		"past it":       {21 * time.Second, "token", ""},
+		"another token": {time.Second, "other", ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestTrial(t, KernelConfig{})
+			run := func(call, token string) {
+				s.sent(call, "write", token, []byte("body"), 3600)
+				o, ok := s.check.order("n1", call, "write", []byte("body"))
+				if !ok {
+					t.Fatal("not known")
+				}
+				s.check.begun("n1", o)
+			}
+			run(tryA, "token")
+			first := s.check.servers["n1"].ledger.byCall[tryA][0]
+			first.recv, first.at = first.recv.Add(-one.later), first.at.Add(-one.later)
+			run(tryB, one.token)
+			if one.what == "" {
+				s.none(t)
+				return
+			}
+			s.one(t, 2, one.what)
+		})
+	}
+}
+
+// A run of what came past the grace is found, by when it came and not by when it began.
+func TestJudgeGrace(t *testing.T) {
+	s := newStubServer(t, KernelConfig{})
+	s.call(tryA, "read", "", nil, long)
+	s.answered()
+	s.check.Notice("n1", -time.Hour, time.Hour)
+	s.run(tryA, "read", nil) // it is over, and so not begun
+	s.none(t)
+	s.call(tryB, "read", "", nil, long)
+	s.found(3, "after its notice and was run")
+}
+
+// Clients that number two RPCs alike, or end, are nobody's fault but theirs.
+func TestJudgeExcusesClients(t *testing.T) {
+	s := newStubServer(t, KernelConfig{})
+	release := make(chan struct{})
+	s.Behave(func(h Heard, out []byte) []byte {
+		if len(s.Heard()) == 1 {
+			<-release
+		}
+		return thrift.Aborted(out, h.Seq, 1)
+	})
+	s.call(tryA, "read", "", nil, long)
+	s.number--
+	s.call(tryB, "read", "", nil, long)
+	close(release)
+	s.answered()
+	waitFor(t, "both", func() bool { return len(s.Heard()) == 2 })
+	s.connect()
+	s.Behave(func(_ Heard, out []byte) []byte { return out })
+	s.call("00000000000000cc", "read", "", nil, time.Millisecond)
+	waitFor(t, "the third", func() bool { return len(s.Heard()) == 3 })
+	s.client.Close()
+	waitFor(t, "the end of the connection", func() bool {
+		s.check.mu.Lock()
+		defer s.check.mu.Unlock()
+		return len(s.check.tries) < 2
+	})
+	s.check.Finish()
+	s.none(t)
+}
+
+// What cannot be written to an app server any more was never read, and is not lost.
+func TestJudgeUnwritten(t *testing.T) {
+	s := newTestTrial(t, KernelConfig{})
+	s.sent(tryA, "read", "", nil, 0)
+	s.check.Unwritten(s.flow, 1)
+	s.check.Ended(s.flow, false)
+	s.none(t)
+	if n := s.check.Count("turned.away"); n != 1 {
+		t.Errorf("%d turned away", n)
+	}
+}
+
+// Reports to the roster are three words of a process that lives.
+func TestRosterJudge(t *testing.T) {
+	for report, what := range map[string]string{
+		"HERE n1 on":      "",
+		"HERE n1 off":     "",
+		"HERE n2 on":      "which nobody has",
+		"HERE n3 on":      "has ended",
+		"HERE n1":         "words",
+		"HERE n1 on ":     "words",
+		"HERE n1 maybe":   "ends with",
+		"THERE n1 on":     "begins with",
+		"HERE n1 on\nn2 ": "words",
+	} {
+		s := newTestTrial(t, KernelConfig{})
+		r, err := NewRoster()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Judge(s.check, "n1", "n3")
+		conn, err := net.Dial("udp", r.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, report)
+		fmt.Fprint(conn, "HERE last") // after it nothing is on its way
+		waitFor(t, "the reports", func() bool {
+			all := s.check.Violations()
+			return len(all) > 0 && strings.Contains(all[len(all)-1].What, "HERE last")
+		})
+		all := s.check.Violations()
+		if len(all) > 2 || (len(all) == 2) != (what != "") || !strings.Contains(all[0].What, what) {
+			t.Errorf("%q: %v", report, all)
+		}
+		conn.Close()
+		r.Close()
+	}
+}
+
+// A process that spins, one that ignores its stop and one that says nothing are found; those that do not are not.
+func TestProcessHealth(t *testing.T) {
+	start := func(script string) *Process {
+		p, err := Launch(exec.Command("/bin/sh", "-c", script), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.kill)
+		return p
+	}
+	quiet, spins := start("exec sleep 60"), start("while :; do :; done")
+	if err := quiet.Resting(time.Second, 0.2); err != nil {
+		t.Error(err)
+	}
+	if err := spins.Resting(time.Second, 0.2); !errors.Is(err, ErrSpins) {
+		t.Errorf("%v of a process that spins", err)
+	}
+	ready := make(chan struct{}, 1)
+	deaf, err := Launch(exec.Command("/bin/sh", "-c", "trap '' TERM; echo ready >&2; while :; do sleep 1; done"), func([]byte) { ready <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-ready
+	if err := deaf.StopWithin(100 * time.Millisecond); !errors.Is(err, ErrStopIgnored) || deaf.Running() {
+		t.Errorf("%v of a process that ignores its stop", err)
+	}
+	if err := quiet.StopWithin(10 * time.Second); err == nil {
+		t.Error("a process that SIGTERM has killed has ended as it should")
+	}
+	obeys, err := Launch(exec.Command("/bin/sh", "-c", "trap 'exit 0' TERM; echo ready >&2; while :; do sleep 0.01; done"), func([]byte) { ready <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-ready
+	if err := obeys.StopWithin(10 * time.Second); err != nil {
+		t.Error(err)
+	}
+}
+
+// Probe tells an app server that answers from one that takes connections and says nothing.
+func TestProbe(t *testing.T) {
+	answers, err := NewStub(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answers.Close()
+	if err := Probe(answers.Address(), patienceOfTests); err != nil {
+		t.Error(err)
+	}
+	silent, err := NewStub(func(_ Heard, out []byte) []byte { return out })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer silent.Close()
+	if err := Probe(silent.Address(), 50*time.Millisecond); !errors.Is(err, ErrAnswersNobody) {
+		t.Errorf("%v of a silent app server", err)
+	}
+}
