--- a/cmd/rehearse/faults_calls.go
+++ b/cmd/rehearse/faults_calls.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -49,8 +50,9 @@
 			defer open.Wait()
 			for n := 0; ctx.Err() == nil; n++ {
 				wait(ctx, seconds64(chance.ExpFloat64()/rate))
-				if s.probe.Ready().IsZero() {
-					continue // requests come once the app server has answered a health check
+				// Requests come once the app server has answered a health check. Nothing is written to a machine that stands still.
+				if s.probe.Ready().IsZero() || s.isPaused() {
+					continue
 				}
 				call := s.newCall(peer, methods[chance.IntN(len(methods))], chance, fmt.Sprintf("%s-%d-%d", s.program.Name, k, n))
 				open.Go(func() { call.play(ctx) })
@@ -60,15 +62,21 @@
 	all.Wait()
 }
 
-func (s *trialServer) methods() []trialMethod {
+func (t *trial) methods() []trialMethod {
 	var all []trialMethod
-	for k, m := range s.drawn.Settings.Methods {
-		told := s.told.Settings.Profiles[k]
+	for k, m := range t.drawn.Settings.Methods {
+		told := t.told.Settings.Profiles[k]
 		all = append(all, trialMethod{m, seconds64(min(told.DeadlineS, trialFar.Seconds())), seconds64(min(told.WindowS, trialFar.Seconds()))})
 	}
 	return all
 }
 
+func (s *trialServer) isPaused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.paused
+}
+
 // trialCall is one RPC of the load, over all its tries.
 type trialCall struct {
 	*trialServer
@@ -76,6 +84,8 @@
 	method    trialMethod
 	id, token string
 	body      []byte
+	work      float64 // seconds on a core
+	result    []byte
 	recv      time.Time
 	due       time.Time
 	goes      time.Duration // when its caller stops waiting, 0 for never
@@ -93,7 +103,12 @@
 		id += "-" + strings.Repeat("x", load.Fill)
 	}
 	c := &trialCall{trialServer: s, peer: peer, method: m, id: id, rank: chance.Float64(), life: s.kills.Load()}
-	c.body = rig.Body(id, min(m.Work*chance.ExpFloat64(), 5*m.Work))
+	c.body = rig.Body(id, 0)
+	c.work = min(m.Work*chance.ExpFloat64(), 5*m.Work)
+	if load.Results > 0 {
+		c.result = bytes.Repeat([]byte(id[:1]), load.Results)
+		copy(c.result, id)
+	}
 	if m.Effect == string(rpc.Tokened) {
 		c.token = fmt.Sprintf("%016x%016x", chance.Uint64(), chance.Uint64())
 	}
@@ -118,13 +133,12 @@
 }
 
 func (c *trialCall) try(again bool) rig.PeerTry {
-	return rig.PeerTry{RPC: c.id, Method: c.method.Name, Token: c.token, Body: c.body, Recv: c.recv, Waits: c.waits(), Due: c.due,
-		Criticality: c.rank, Again: again}
+	return rig.PeerTry{RPC: c.id, Method: c.method.Name, Token: c.token, Body: c.body, Recv: c.recv, Waits: c.waits(), Criticality: c.rank,
+		Again: again, Work: c.work, Result: c.result}
 }
 
 // play sends the RPC, and a copy where one is drawn, until it has its outcome or the trial ends.
 func (c *trialCall) play(ctx context.Context) {
-	c.check.Asked(c.id, rpc.Kind(c.method.Effect), c.due)
 	var both sync.WaitGroup
 	if c.copyAfter > 0 {
 		both.Go(func() {
@@ -179,11 +193,8 @@
 	}
 }
 
-// took hears what an answer says of further tries, and checks a result.
+// took hears what an answer says of further tries.
 func (c *trialCall) took(o rig.PeerOutcome) {
-	if o.Err == nil {
-		c.check.Result(c.id, o.Result)
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closed = c.closed || o.Last || o.After > 0 || o.Err == nil
--- a/cmd/rehearse/faults_inflict.go
+++ b/cmd/rehearse/faults_inflict.go
@@ -27,7 +27,12 @@
 		s.pause(last)
 	case drawn.Terminate:
 		s.terminate()
-	case drawn.Reload, drawn.ReloadMoved:
+	case drawn.Reload:
+		s.reload(s.config(s.program))
+	case drawn.ReloadMoved:
+		if err := kernel.Move(); err != nil {
+			s.check.Failed("%v", err)
+		}
 		s.reload(s.config(s.program))
 	case drawn.ReloadFaulty:
 		s.reload(`{"name":"` + s.program.Name + `","listen":`)
@@ -44,6 +49,18 @@
 		during(func() { kernel.Hang(true) }, func() { kernel.Hang(false) })
 	case drawn.KernelSlow:
 		during(func() { kernel.Slow(float64(f.Size)) }, func() { kernel.Slow(1) })
+	case drawn.LinkCut:
+		kernel.BreakInNotice()
+	case drawn.LinkReset:
+		kernel.ResetLink()
+	case drawn.LinkLossy:
+		kernel.BreakLosing(lossyLast)
+	case drawn.LinkLate:
+		during(s.linkFault(func(l *rig.LinkFaults) { l.Late = time.Duration(f.Size) * time.Millisecond }), s.linkFault(func(l *rig.LinkFaults) { l.Late = 0 }))
+	case drawn.LinkPieces:
+		during(s.linkFault(func(l *rig.LinkFaults) { l.Pieces = true }), s.linkFault(func(l *rig.LinkFaults) { l.Pieces = false }))
+	case drawn.LinkDoubled:
+		during(s.linkFault(func(l *rig.LinkFaults) { l.Doubled, l.Remarks = 0.5, 0.2 }), s.linkFault(func(l *rig.LinkFaults) { l.Doubled, l.Remarks = 0, 0 }))
 	case drawn.RouterDeaf:
 		during(func() { s.deafen(true) }, func() { s.deafen(false) })
 	case drawn.RouterReset:
@@ -68,6 +85,19 @@
 // maxSilent bounds the connections without work to one app server: the rig holds their other ends.
 const maxSilent = 600
 
+// lossyLast is for how long before a break commands may be lost: the protocol's figure.
+const lossyLast = 50 * time.Millisecond
+
+// linkFault changes what is wrong with the kernel's link.
+func (s *trialServer) linkFault(change func(*rig.LinkFaults)) func() {
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		change(&s.linkFaults)
+		s.program.Kernel.SetLinkFaults(s.linkFaults)
+	}
+}
+
 func (s *trialServer) withhold(f drawn.Fault) {
 	s.program.Kernel.Withhold()
 	time.AfterFunc(seconds64(f.For), s.program.Kernel.Release)
@@ -94,6 +124,7 @@
 	if !s.program.Running() {
 		return
 	}
+	s.awaitHandlers()
 	s.kills.Add(1)
 	if err := s.program.Stop(); err != nil {
 		s.violate("rule 3: %v", err)
@@ -103,6 +134,19 @@
 	s.again()
 }
 
+// awaitHandlers waits until a process that has just been started can take a signal: before, its runtime is not up.
+func (s *trialServer) awaitHandlers() {
+	s.mu.Lock()
+	from := s.launched
+	s.mu.Unlock()
+	for s.probe.Answered().IsZero() && s.program.Log() == "" && time.Since(from) < startTime {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// startTime is what the runtime of a process takes at most on a busy machine.
+const startTime = 500 * time.Millisecond
+
 // again starts the process once more and counts whether it is ready in time.
 func (s *trialServer) again() {
 	s.begin()
@@ -139,9 +183,10 @@
 func (s *trialServer) reload(text string) {
 	s.life.Lock()
 	defer s.life.Unlock()
-	if !s.program.Running() || !s.serving() {
+	if !s.program.Running() {
 		return
 	}
+	s.awaitHandlers()
 	if err := s.program.WriteConfigText(text); err != nil {
 		s.check.Failed("%v", err)
 		return
@@ -149,9 +194,6 @@
 	s.program.Signal(syscall.SIGHUP)
 }
 
-// serving tells whether the process has answered a health check: before, SIGHUP may come before it is looked for.
-func (s *trialServer) serving() bool { return !s.probe.Answered().IsZero() }
-
 func (s *trialServer) silenceRoster(last time.Duration) {
 	if !s.rosterDown.CompareAndSwap(false, true) {
 		return
--- a/cmd/rehearse/faults_planted.go
+++ b/cmd/rehearse/faults_planted.go
@@ -16,8 +16,8 @@
 var plantedFaults = []plantedFault{
 	{plantOtherBody, "served with"},
 	{plantSecondRun, "run a second time"},
-	{plantLostAnswer, "never answered"},
-	{plantIdleSpin, "of a core without work"},
+	{plantLostAnswer, "lost:"},
+	{plantIdleSpin, "the processor at rest"},
 	{plantIgnoredStop, "did not end by itself"},
 }
 
--- a/cmd/rehearse/faults_server.go
+++ b/cmd/rehearse/faults_server.go
@@ -17,7 +17,8 @@
 	*trial
 	number  int
 	program *rig.Program
-	probe   *rig.Probe
+	net     *rig.Net // between the routers and it
+	probe   *rig.HealthProbe
 	peers   []*rig.Peer
 	calls   trialCalls
 	kills   atomic.Int64 // processes that have ended: tokens do not outlive them
@@ -30,6 +31,7 @@
 	restarted  bool
 	ready      bool // the probe has seen it ready
 	logs       string
+	linkFaults rig.LinkFaults
 	disturbed  bool     // a fault was inflicted on it
 	badTold    int      // bad clients that were told something
 	badIgnored []string // kinds of bad clients that were told nothing
@@ -37,27 +39,35 @@
 
 func (t *trial) newServer(number int) (*trialServer, error) {
 	s := &trialServer{trial: t, number: number}
-	name := fmt.Sprintf("n%d", number+1)
-	program, err := rig.NewProgram(rig.ProgramPlan{Name: name, Binary: t.p.Program, Args: t.p.programArgs, Site: t.site(), Folder: t.folder,
+	name := serverName(number)
+	program, err := rig.NewProgram(rig.ProgramPlan{Name: name, Binary: t.p.Program, Args: t.p.programArgs, Site: t.site(), Kernel: t.kernel(number), Folder: t.folder,
 		Roster: t.roster.Address(), Check: t.check, Config: s.config})
 	if err != nil {
 		return nil, err
 	}
 	s.program = program
-	s.probe = rig.NewProbe(program.Address)
+	s.probe = rig.NewHealthProbe(program.Address)
+	if s.net, err = rig.NewNet(name, program.Address, t.check); err != nil {
+		return nil, err
+	}
+	if t.drawn.Load.Pieces > 0 {
+		s.net.Pieces(t.drawn.Seed)
+	}
 	for k := range t.drawn.Load.Routers {
 		form := t.form()
 		if k > 0 {
 			form.Pieces = 0
 		}
-		s.peers = append(s.peers, rig.NewPeer(name, program.Address, 10*number+k, form, t.check, t.drawn.Seed+uint64(number)<<32))
+		s.peers = append(s.peers, rig.NewPeer(s.net.Address(), 10*number+k, form, t.catalog, t.drawn.Seed+uint64(number)<<32))
 	}
 	return s, nil
 }
 
+func serverName(number int) string { return fmt.Sprintf("n%d", number+1) }
+
 // site is what the rig itself goes by.
 func (t *trial) site() rig.Site {
-	return rig.Site{Cores: max(int(t.told.Settings.Domain.NCores), 1), MemoryMB: int(t.told.Limits.MemoryMB), Sockets: int(t.told.Limits.Sockets),
+	return rig.Site{MemoryMB: int(t.told.Limits.MemoryMB), Sockets: int(t.told.Limits.Sockets),
 		Stop: seconds64(t.told.StopMS / 1000), Grace: seconds64(t.told.Settings.Rules.StopSendingWithinS), OneCore: true}
 }
 
@@ -136,15 +146,13 @@
 	if !s.program.Running() {
 		return
 	}
-	least := trialIdle * 10
-	for range 3 { // what the rest of the machine does may stretch one of them
-		before, from := s.program.CPU(), time.Now()
-		time.Sleep(trialRest)
-		if least = min(least, (s.program.CPU()-before).Seconds()/time.Since(from).Seconds()); least < trialIdle {
+	var err error
+	for range 3 { // work that is left over may take one of them
+		if err = s.program.Resting(trialRest, trialIdle); err == nil {
 			return
 		}
 	}
-	s.violate("rule 4: %s takes %.2f of a core without work", s.program.Name, least)
+	s.violate("rule 4: %s: %v", s.program.Name, err)
 }
 
 // stop tells the process to leave, and waits for its end.
@@ -162,7 +170,7 @@
 
 // judge looks at the log and at what was served.
 func (s *trialServer) judge() {
-	for _, word := range []string{"panic:", "fatal error:", "DATA RACE", "goroutine "} {
+	for _, word := range []string{"panic:", "fatal error:", "DATA RACE"} {
 		if at := strings.Index(s.logs, word); at >= 0 {
 			s.violate("rule 4: %s logs %q: %.600s", s.program.Name, word, s.logs[at:])
 			break
@@ -177,6 +185,7 @@
 	for _, p := range s.peers {
 		p.Close()
 	}
+	s.net.Close()
 	if s.program.Running() {
 		s.program.Kill()
 	}
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -13,6 +14,7 @@
 
 	"valveglade/rig"
 	"valveglade/rig/drawn"
+	"valveglade/rpc"
 )
 
 // Figures of a trial.
@@ -54,6 +56,7 @@
 	drawn      drawn.Case
 	told       drawn.Told
 	check      *rig.Checker
+	catalog    *rig.Catalog
 	roster     *rig.Roster
 	folder     string
 	servers    []*trialServer
@@ -95,9 +98,16 @@
 	}
 	t.check = rig.NewChecker(trialSlack)
 	t.check.ResendCrossed()
+	t.catalog = rig.NewCatalog()
+	t.check.Judge(t.terms())
 	if t.roster, err = rig.NewRoster(); err != nil {
 		return err
 	}
+	var names []string
+	for k := range t.drawn.Servers {
+		names = append(names, serverName(k))
+	}
+	t.roster.Judge(t.check, names...)
 	for k := range t.drawn.Servers {
 		s, err := t.newServer(k)
 		if err != nil {
@@ -108,6 +118,28 @@
 	return nil
 }
 
+// terms are what app servers are judged by.
+func (t *trial) terms() rig.Terms {
+	terms := rig.Terms{Methods: map[string]rig.MethodTerms{}, Catalog: t.catalog}
+	for _, m := range t.methods() {
+		terms.Methods[m.Name] = rig.MethodTerms{Kind: rpc.Kind(m.Effect), Deadline: m.deadline, Window: m.window}
+	}
+	return terms
+}
+
+// kernel is the stand-in of the settings.
+func (t *trial) kernel(number int) rig.KernelConfig {
+	domain, rules := t.told.Settings.Domain, t.told.Settings.Rules
+	config := rig.KernelConfig{Cores: max(int(domain.NCores), 1), Preemption: rig.Preemption(cmp.Or(domain.Preemption, string(rig.PreemptNone))),
+		Gauges: domain.OwnStats, Memory: rig.BookedMemory{KB: domain.MemoryKB, RunFactor: domain.RunFactor},
+		Crowding: rig.Crowding{Factor: rules.OverloadFactor, Window: seconds64(rules.FallS)}, Seed: t.drawn.Seed + uint64(number)<<32,
+		Cold: rig.ColdStart{Capacity: rules.StartCapacity, Ramp: seconds64(rules.RampTimeS), Window: seconds64(rules.FallS)}}
+	for _, m := range t.drawn.Settings.Methods {
+		config.Methods = append(config.Methods, m.Name)
+	}
+	return config
+}
+
 // clear ends what is left of a trial.
 func (t *trial) clear() {
 	for _, s := range t.servers {
--- a/rig/badclient.go
+++ b/rig/badclient.go
@@ -83,7 +83,7 @@
 		return append(frame, frame...)
 	}},
 	{name: "no such call", message: func(*BadClients, *rand.Rand) []byte {
-		return frameEnd(frameHead(frameCall, "nonsense", 1))
+		return frameEnd(frameHead(messageCall, "nonsense", 1))
 	}},
 	{name: "interrupts", message: func(*BadClients, *rand.Rand) []byte {
 		var all []byte
@@ -183,7 +183,7 @@
 			a := badAnswer{}
 			thrift.DecodeAnswer(frame, &a)
 			if a.served {
-				b.check.Failed("rule 1: %s serves a client that sent %s", b.server, kind.name)
+				b.check.report(1, "%s serves a client that sent %s", b.server, kind.name)
 			}
 			return true
 		}
--- a/rig/crossing.go
+++ b/rig/crossing.go
@@ -6,6 +6,9 @@
 // on a new connection.
 const closeCrossing = 50 * time.Millisecond
 
+// crossingWindow is that on a busy machine. It does not grow with what else is allowed for lateness: what has been read is lost.
+const crossingWindow = closeCrossing + 150*time.Millisecond
+
 // ResendCrossed tells the checker that the callers keep to that: an RPC that crossed a close is lost only if it is not sent
 // again. Without it each RPC on a connection that its app server ends is lost.
 func (c *Checker) ResendCrossed() {
@@ -18,7 +21,7 @@
 // connection that has no open request. A request that has been run there was open. Called under the lock.
 func (c *Checker) crossedClose(t *tried) bool {
 	_, ran := c.server(t.server).started[t.id]
-	return c.crossed != nil && !ran && time.Since(t.at) <= closeCrossing+c.slack
+	return c.crossed != nil && !ran && time.Since(t.at) <= closeCrossing+min(c.slack, crossingWindow-closeCrossing)
 }
 
 // finishCrossed finds what crossed a close and was not sent again, although there was time. Called under the lock.
--- a/rig/drawn/case.go
+++ b/rig/drawn/case.go
@@ -22,13 +22,14 @@
 
 // Load is what each app server is asked.
 type Load struct {
-	Rate    float64 `json:"rate"`             // RPCs a second at each app server
-	Routers int     `json:"routers"`          // at each app server
-	Repeats float64 `json:"repeats"`          // the share of RPCs that get a further try or a second copy
-	Goes    float64 `json:"goes"`             // the share of RPCs whose caller stops waiting early
-	Pieces  int     `json:"pieces,omitempty"` // bytes that some routers write at a time; 0 for whole messages
-	Stale   float64 `json:"stale,omitempty"`  // seconds for which RPCs have waited at the machine before they are written
-	Fill    int     `json:"fill,omitempty"`   // bytes by which bodies are longer
+	Rate    float64 `json:"rate"`              // RPCs a second at each app server
+	Routers int     `json:"routers"`           // at each app server
+	Repeats float64 `json:"repeats"`           // the share of RPCs that get a further try or a second copy
+	Goes    float64 `json:"goes"`              // the share of RPCs whose caller stops waiting early
+	Pieces  int     `json:"pieces,omitempty"`  // bytes that some routers write at a time; 0 for whole messages
+	Stale   float64 `json:"stale,omitempty"`   // seconds for which RPCs have waited at the machine before they are written
+	Fill    int     `json:"fill,omitempty"`    // bytes by which bodies are longer
+	Results int     `json:"results,omitempty"` // bytes of each result; 0 for few
 }
 
 // Bounds of a case.
@@ -68,6 +69,9 @@
 	if chance.IntN(5) == 0 {
 		l.Fill = pick(chance, []int{1, 100, maxFill})
 	}
+	if chance.IntN(4) == 0 {
+		l.Results = 4096
+	}
 	return l
 }
 
--- a/rig/drawn/faults.go
+++ b/rig/drawn/faults.go
@@ -10,22 +10,23 @@
 
 // The faults. Those with a length are undone after Fault.For seconds.
 const (
-	Kill         FaultKind = "kill"           // outright, and started again under its name after For
-	Pause        FaultKind = "pause"          // SIGSTOP, and SIGCONT after For
-	Terminate    FaultKind = "terminate"      // SIGTERM, and started again under its name once it has ended
-	Reload       FaultKind = "reload"         // SIGHUP with the same file
-	ReloadMoved  FaultKind = "reload-moved"   // SIGHUP with a file that names another kernel address
-	ReloadFaulty FaultKind = "reload-faulty"  // SIGHUP with a file that cannot be read
-	RosterSilent FaultKind = "roster-silent"  // of all app servers
-	KernelLate   FaultKind = "kernel-late"    // from the start of the process on: links are taken, and BOOTED is held back
-	KernelDown   FaultKind = "kernel-down"    // the link is closed, and connects are refused
-	KernelHung   FaultKind = "kernel-hung"    // all work stands still
-	KernelSlow   FaultKind = "kernel-slow"    // work takes Size times as long
-	LinkCut      FaultKind = "link-cut"       // broken in the middle of a line
+	Kill         FaultKind = "kill"          // outright, and started again under its name after For
+	Pause        FaultKind = "pause"         // SIGSTOP, and SIGCONT after For
+	Terminate    FaultKind = "terminate"     // SIGTERM, and started again under its name once it has ended
+	Reload       FaultKind = "reload"        // SIGHUP with the same file
+	ReloadMoved  FaultKind = "reload-moved"  // SIGHUP with a file that names another kernel address
+	ReloadFaulty FaultKind = "reload-faulty" // SIGHUP with a file that cannot be read
+	RosterSilent FaultKind = "roster-silent" // of all app servers
+	KernelLate   FaultKind = "kernel-late"   // from the start of the process on: links are taken, and BOOTED is held back
+	KernelDown   FaultKind = "kernel-down"   // the link is closed, and connects are refused
+	KernelHung   FaultKind = "kernel-hung"   // all work stands still
+	KernelSlow   FaultKind = "kernel-slow"   // work takes Size times as long
+	LinkCut      FaultKind = "link-cut"      // broken in the middle of a line
+	LinkReset    FaultKind = "link-reset"
 	LinkLossy    FaultKind = "link-lossy"     // cut together with the commands of the last 50 ms
 	LinkLate     FaultKind = "link-late"      // everything on the link comes Size ms late
-	LinkPieces   FaultKind = "link-pieces"    // notices come Size bytes at a time
-	LinkDoubled  FaultKind = "link-doubled"   // notices come twice
+	LinkPieces   FaultKind = "link-pieces"    // notices come in pieces
+	LinkDoubled  FaultKind = "link-doubled"   // notices come twice, with remarks between them
 	RouterDeaf   FaultKind = "router-deaf"    // routers do not read
 	RouterReset  FaultKind = "router-reset"   // routers reset their connections
 	RouterClose  FaultKind = "router-close"   // routers close their connections
@@ -66,8 +67,8 @@
 	{Kill, nil, 0.5, false}, {Kill, nil, 0.05, false}, {Pause, nil, 1.5, false}, {Terminate, nil, 0, false}, {Terminate, nil, 0, false},
 	{Reload, nil, 0, false}, {ReloadMoved, nil, 0, false}, {ReloadFaulty, nil, 0, false}, {RosterSilent, nil, 3, false},
 	{KernelLate, nil, 3, true}, {KernelDown, nil, 1, false}, {KernelHung, nil, 1, false}, {KernelSlow, []int{3, 20}, 2, false},
-	{LinkCut, nil, 0, false}, {LinkCut, nil, 0, false}, {LinkLossy, nil, 0, false}, {LinkLossy, nil, 0, false},
-	{LinkLate, []int{5, 50, 300}, 2, false}, {LinkPieces, []int{1, 7}, 2, false}, {LinkDoubled, nil, 3, false},
+	{LinkCut, nil, 0, false}, {LinkCut, nil, 0, false}, {LinkLossy, nil, 0, false}, {LinkLossy, nil, 0, false}, {LinkReset, nil, 0, false},
+	{LinkLate, []int{5, 50, 300}, 2, false}, {LinkPieces, nil, 2, false}, {LinkDoubled, nil, 3, false},
 	{RouterDeaf, nil, 2, false}, {RouterReset, nil, 0, false}, {RouterClose, nil, 0, false},
 	{Silent, []int{50, 100, 130}, 3, false}, {BadClients, []int{1, 4, 20}, 3, false}, {LogFull, nil, 4, false},
 }
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -64,7 +64,11 @@
 }
 
 // Address is where app servers find it.
-func (k *Kernel) Address() string { return k.address }
+func (k *Kernel) Address() string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.address
+}
 
 // Slow makes all work take so many times as long.
 func (k *Kernel) Slow(times float64) {
--- a/rig/peer.go
+++ b/rig/peer.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -12,7 +11,6 @@
 
 	"valveglade/internal/readbuffer"
 	"valveglade/internal/thrift"
-	"valveglade/rpc"
 )
 
 // PeerForm is how the routers of a deployment write RPCs.
@@ -25,14 +23,13 @@
 }
 
 // Peer is a router of one app server, as the protocol has them: up to 32 RPCs open on a connection, new connections as it
-// needs them, and a connection that is asked to drain gets no new RPC. It tells the checker what it writes and reads, and
-// can do what a bad router does. It is safe for use by many goroutines.
+// needs them, and a connection that is asked to drain gets no new RPC. It can do what a bad router does. Behind a Net the
+// checker sees what it says and hears. It is safe for use by many goroutines.
 type Peer struct {
-	server  string
 	address string
 	source  int
 	form    PeerForm
-	check   *Checker
+	catalog *Catalog
 
 	mu     sync.Mutex
 	chance *rand.Rand
@@ -50,9 +47,10 @@
 	Body        []byte
 	Recv        time.Time     // when it came to the machine
 	Waits       time.Duration // from Recv on; the field ttl
-	Due         time.Time     // when its answer is due by the documents
 	Criticality float64
 	Again       bool
+	Work        float64 // seconds on a core
+	Result      []byte  // of a run; nil for Answer(RPC)
 }
 
 // PeerOutcome is how a try ended: with a result, or with ErrPushedBack, ErrAborted, ErrLost.
@@ -75,7 +73,6 @@
 type peerConn struct {
 	*Peer
 	net.Conn
-	flow  *flow // by which the checker knows the connection
 	write sync.Mutex
 	seq   int32
 
@@ -84,6 +81,7 @@
 	booked int
 	drains bool
 	ended  bool
+	ours   bool // it was ended from this side
 }
 
 // peerOpen is a try without an outcome.
@@ -102,8 +100,8 @@
 )
 
 // NewPeer makes one; it connects when it has something to send.
-func NewPeer(server, address string, source int, form PeerForm, check *Checker, seed uint64) *Peer {
-	return &Peer{server: server, address: address, source: source, form: form, check: check, chance: rand.New(rand.NewPCG(seed, uint64(source)))}
+func NewPeer(address string, source int, form PeerForm, catalog *Catalog, seed uint64) *Peer {
+	return &Peer{address: address, source: source, form: form, catalog: catalog, chance: rand.New(rand.NewPCG(seed, uint64(source)))}
 }
 
 // Send writes one try.
@@ -120,19 +118,11 @@
 	if !c.book(c.seq, &peerOpen{time.Now(), done}) {
 		return nil, ErrNotConnected
 	}
-	c.tell(t, c.seq, call)
-	if c.isDeaf() {
-		c.check.Interrupted(c.flow, c.seq)
-	}
+	c.catalog.Add(call, Entry{RPC: t.RPC, Work: t.Work, Result: t.Result})
 	c.put(ExecuteFrame(c.seq, fields, t.Body))
 	return &PeerCall{Done: done, conn: c, seq: c.seq}, nil
 }
 
-// tell has the checker know of a try before it is written.
-func (c *peerConn) tell(t PeerTry, seq int32, call string) {
-	c.check.Try(c.server, c.flow, seq, t.RPC, t.Due, t.Again)
-}
-
 // fields are those of the protocol, in any order, with a new call id.
 func (p *Peer) fields(t PeerTry) (fields []Pair, call string) {
 	p.mu.Lock()
@@ -166,7 +156,6 @@
 	}
 	c.write.Lock()
 	defer c.write.Unlock()
-	c.check.Interrupted(c.flow, k.seq)
 	c.seq++
 	c.put(InterruptFrame(c.seq, k.seq))
 }
@@ -215,7 +204,9 @@
 
 // leave ends the connection from this side.
 func (c *peerConn) leave() {
-	c.flow.ours.Store(true)
+	c.mu.Lock()
+	c.ours = true
+	c.mu.Unlock()
 	c.Conn.Close()
 }
 
@@ -246,7 +237,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &peerConn{Peer: p, Conn: nc, flow: &flow{}, open: map[int32]*peerOpen{}, booked: 1}
+	c := &peerConn{Peer: p, Conn: nc, open: map[int32]*peerOpen{}, booked: 1}
 	p.conns = append(p.conns, c)
 	p.group.Go(c.read)
 	return c, nil
@@ -262,24 +253,15 @@
 		case err == nil && size == 0:
 			err = in.Fill(c)
 		case err == nil:
-			c.flow.spoke.Store(true)
 			err = thrift.DecodeAnswer(frame, c)
 			in.Take(size)
 		}
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.EOF) && !isReset(err) {
-				c.check.Failed("an answer of %s cannot be read: %v", c.server, err)
-			}
+		if err != nil { // what cannot be read is the checker's to tell
 			return
 		}
 	}
 }
 
-func isReset(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op)
-}
-
 // awaitHearing waits while the peer does not read.
 func (p *Peer) awaitHearing() {
 	p.mu.Lock()
@@ -293,12 +275,11 @@
 // over gives what is open its outcome.
 func (c *peerConn) over() {
 	c.Conn.Close()
-	c.check.Ended(c.flow, c.flow.ours.Load())
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.ended = true
 	for seq, o := range c.open {
-		o.done <- PeerOutcome{Err: ErrLost, Crossed: !c.flow.ours.Load() && time.Since(o.at) <= closeCrossing+c.check.slack}
+		o.done <- PeerOutcome{Err: ErrLost, Crossed: !c.ours && time.Since(o.at) <= crossingWindow}
 		delete(c.open, seq)
 	}
 }
@@ -320,42 +301,22 @@
 
 // Served, PushedBack, Aborted and the rest are what the app server says.
 func (c *peerConn) Served(seq int32, result []byte, _ float64) {
-	c.check.Answered(c.flow, seq, rpc.OK, false, 0)
 	c.end(seq, PeerOutcome{Result: append([]byte{}, result...)})
 }
 func (c *peerConn) PushedBack(seq int32, last bool, after, _ float64) {
 	wait := time.Duration(after * float64(time.Second))
-	c.check.Answered(c.flow, seq, rpc.PushedBack, last, wait)
 	c.end(seq, PeerOutcome{Err: ErrPushedBack, Last: last, After: wait})
 }
 func (c *peerConn) Aborted(seq int32, _ string, _ float64) {
-	c.check.Answered(c.flow, seq, rpc.Error, false, 0)
 	c.end(seq, PeerOutcome{Err: ErrAborted})
 }
-func (c *peerConn) Checked(seq int32, _ bool, _ float64) {
-	c.check.Failed("%s answers check %d on a connection without checks", c.server, seq)
-}
-func (c *peerConn) Draining() { c.retire() }
+func (c *peerConn) Checked(int32, bool, float64) {}
+func (c *peerConn) Draining()                    { c.retire() }
 
-func (p *Peer) isDeaf() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.deaf != nil
-}
-
-// Deaf stops the reading of answers, or lets it go on. Of what is open meanwhile nobody can tell when it was answered.
+// Deaf stops the reading of answers, or lets it go on.
 func (p *Peer) Deaf(deaf bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if deaf {
-		for _, c := range p.conns {
-			c.mu.Lock()
-			for seq := range c.open {
-				c.check.Interrupted(c.flow, seq)
-			}
-			c.mu.Unlock()
-		}
-	}
 	switch {
 	case deaf && p.deaf == nil:
 		p.deaf = make(chan struct{})
--- a/rig/probe.go
+++ b/rig/probe.go
@@ -9,8 +9,8 @@
 	"valveglade/internal/thrift"
 )
 
-// Probe asks one app server for its health all the time, on a connection of its own that it opens anew now and then.
-type Probe struct {
+// HealthProbe asks one app server for its health all the time, on a connection of its own that it opens anew now and then.
+type HealthProbe struct {
 	address string
 	end     chan struct{}
 	group   sync.WaitGroup
@@ -28,41 +28,41 @@
 	probesOnConn = 5
 )
 
-// NewProbe begins to ask.
-func NewProbe(address string) *Probe {
-	p := &Probe{address: address, end: make(chan struct{}), from: time.Now()}
+// NewHealthProbe begins to ask.
+func NewHealthProbe(address string) *HealthProbe {
+	p := &HealthProbe{address: address, end: make(chan struct{}), from: time.Now()}
 	p.group.Go(p.run)
 	return p
 }
 
 // Begin forgets the answers so far, as a process is started anew.
-func (p *Probe) Begin() {
+func (p *HealthProbe) Begin() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.from, p.last, p.good = time.Now(), time.Time{}, time.Time{}
 }
 
 // Answered returns when the last answer came; the zero time if none has since Begin.
-func (p *Probe) Answered() time.Time {
+func (p *HealthProbe) Answered() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.last
 }
 
 // Ready returns when the first good answer came since Begin; the zero time if none has.
-func (p *Probe) Ready() time.Time {
+func (p *HealthProbe) Ready() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.good
 }
 
 // Close ends it.
-func (p *Probe) Close() {
+func (p *HealthProbe) Close() {
 	close(p.end)
 	p.group.Wait()
 }
 
-func (p *Probe) run() {
+func (p *HealthProbe) run() {
 	for {
 		p.converse()
 		if !p.pause() {
@@ -72,7 +72,7 @@
 }
 
 // pause reports whether the probe goes on.
-func (p *Probe) pause() bool {
+func (p *HealthProbe) pause() bool {
 	select {
 	case <-p.end:
 		return false
@@ -82,7 +82,7 @@
 }
 
 // converse asks some times on one connection.
-func (p *Probe) converse() {
+func (p *HealthProbe) converse() {
 	conn, err := net.DialTimeout("tcp", p.address, probeWaits)
 	if err != nil {
 		return
@@ -117,7 +117,7 @@
 }
 
 // take notes an answer; one that was asked for before Begin is another process's.
-func (p *Probe) take(asked time.Time, good bool) {
+func (p *HealthProbe) take(asked time.Time, good bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if asked.Before(p.from) {
--- a/rig/program.go
+++ b/rig/program.go
@@ -75,8 +75,9 @@
 	Name   string
 	Binary string
 	Args   []string // of the program
-	Site   Site     // what the rig itself goes by: cores, limits, the times of a notice
-	Folder string   // for its files
+	Site   Site     // what the rig itself goes by: limits, the times of a notice
+	Kernel KernelConfig
+	Folder string // for its files
 	Roster string
 	Check  *Checker
 	Config func(p *Program) string // asked at each start and reload
@@ -84,7 +85,7 @@
 
 // NewProgram prepares one, with a kernel of its own; nothing is started before Launch.
 func NewProgram(plan ProgramPlan) (*Program, error) {
-	kernel, err := NewKernel(plan.Name, plan.Site.Cores, plan.Check)
+	kernel, err := NewConfiguredKernel(plan.Name, plan.Kernel, plan.Check)
 	if err != nil {
 		return nil, err
 	}
