--- a/cmd/rehearse/faults.go
+++ b/cmd/rehearse/faults.go
@@ -185,7 +185,7 @@
 	shown := map[string]int{}
 	for _, v := range r.violations {
 		if shown[classOf(v)]++; shown[classOf(v)] <= 2 {
-			p.say("  %.300s", v)
+			p.say("  %.400s", strings.ReplaceAll(v, "\n", "\n#     "))
 		}
 	}
 	for class, n := range shown {
--- a/cmd/rehearse/faults_server.go
+++ b/cmd/rehearse/faults_server.go
@@ -122,7 +122,7 @@
 func (s *trialServer) look() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.launched.IsZero() || s.paused {
+	if s.launched.IsZero() || s.paused || !s.program.Running() {
 		return
 	}
 	if ready := s.probe.Ready(); !s.ready && !ready.IsZero() {
@@ -160,6 +160,7 @@
 	s.life.Lock()
 	defer s.life.Unlock()
 	if !s.program.Running() {
+		s.down()
 		return
 	}
 	if err := s.program.Stop(); err != nil {
@@ -179,6 +180,15 @@
 	s.calls.judge(s)
 }
 
+// lastWords are the last lines of what the process logged, for those who look into a trial.
+func (s *trialServer) lastWords() string {
+	lines := strings.Split(strings.TrimSpace(s.logs), "\n")
+	return strings.Join(lines[max(len(lines)-lastLines, 0):], "\n")
+}
+
+// lastLines are shown of a log.
+const lastLines = 3
+
 // clear ends the process and what surrounds it.
 func (s *trialServer) clear() {
 	s.probe.Close()
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -47,6 +47,9 @@
 
 func classOf(violation string) string {
 	first, _, _ := strings.Cut(violation, "\n")
+	if _, last, found := strings.Cut(violation, "valveglade: "); found { // why a process ended
+		first += last
+	}
 	return particulars.ReplaceAllString(first, "_")
 }
 
@@ -212,12 +215,23 @@
 	t.check.Finish()
 	for _, v := range t.check.Violations() {
 		if v.Rule != callersRule {
-			t.violate("%s", v)
+			t.violate("%s%s", v, t.endWords(v.What))
 		}
 	}
 	t.result.tries, t.result.runs = t.check.Count("tries"), t.check.Count("runs")
 }
 
+// endWords is what a process said before it ended by itself, if that is what the violation tells.
+func (t *trial) endWords(violation string) string {
+	name, rest, _ := strings.Cut(violation, " ")
+	for _, s := range t.servers {
+		if s.program.Name == name && strings.HasPrefix(rest, "ended") {
+			return "\n" + s.lastWords()
+		}
+	}
+	return ""
+}
+
 // callersRule is the checker's number for what callers, not app servers, may not do.
 const callersRule = 5
 
