--- a/cmd/rehearse/faults_inflict.go
+++ b/cmd/rehearse/faults_inflict.go
@@ -223,7 +223,7 @@
 	s.badIgnored = append(s.badIgnored, ignored...)
 }
 
-// fillLog has nobody read the process's log for a while.
+// fillLog has nobody read the process's log for a while, or as long as it lives.
 func (s *trialServer) fillLog(last time.Duration) {
 	if !s.program.Running() {
 		return
@@ -231,6 +231,8 @@
 	if err := s.program.FillLog(); err != nil {
 		s.check.Failed("the log's pipe cannot be filled: %v", err)
 	}
-	time.Sleep(last)
-	s.program.ReadLog()
+	if last > 0 {
+		time.Sleep(last)
+		s.program.ReadLog()
+	}
 }
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -22,7 +22,7 @@
 	trialSlack = 500 * time.Millisecond // past what the rules name: several trials and other work share the machine
 	trialRest  = 700 * time.Millisecond // in which an app server without work is watched
 	trialIdle  = 0.2                    // of a core, at most, that it takes then
-	trialMute  = 4 * time.Second        // at most, between answers to health checks
+	trialMute  = 3 * time.Second        // at most, between answers to health checks
 	trialReady = 10 * time.Second       // from a restart to the first good health check
 	trialLast  = 1500 * time.Millisecond
 )
