--- a/rig/check_messages.go
+++ b/rig/check_messages.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"slices"
 	"time"
 
@@ -142,15 +141,24 @@
 	c.violate(1, "%s was served by %s with what no run of it made there: %.60q", t.sent, t.server, a.body)
 }
 
-// judgePushback finds a refusal of what has been run. It promises that this try never ran.
+// judgePushback finds a refusal of what has been run: it promises that nothing has come of the request. Another try of it has
+// to have been run for a moment already, as a refusal takes a moment to get here.
 func (c *Checker) judgePushback(conn *flow, a reply) {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tries[conn][a.seq]
-	if t == nil || t.sent == nil || t.answered || t.sent.ran.IsZero() || c.terms.Methods[t.sent.method].Kind == rpc.Idempotent {
+	if t == nil || t.sent == nil || t.answered || c.terms.Methods[t.sent.method].Kind == rpc.Idempotent {
 		return
 	}
-	c.violate(2, "%s pushed back by %s, where it had been run", t.sent, t.server)
+	for _, s := range c.server(t.server).ledger.siblings(t.sent) {
+		switch {
+		case s.ran.IsZero():
+		case s == t.sent, now.Sub(s.ran) > c.slack && t.at.Before(s.recv.Add(c.terms.Methods[s.method].Window)):
+			c.violate(2, "%s pushed back by %s, where %s had been run", t.sent, t.server, s)
+			return
+		}
+	}
 }
 
 // mayAnswer allows one more answer under a number. Called under the checker's lock.
@@ -160,18 +168,3 @@
 	}
 	f.spare[seq]++
 }
-
-// Dump lists what is still owed, for those who look into a trial.
-func (c *Checker) Dump() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var all []string
-	for _, tries := range c.tries {
-		for seq, t := range tries {
-			if !t.over() {
-				all = append(all, fmt.Sprintf("%s at %s under number %d, due in %v", t.id, t.server, seq, time.Until(t.due)))
-			}
-		}
-	}
-	return all
-}
--- a/rig/crossing.go
+++ b/rig/crossing.go
@@ -18,6 +18,9 @@
 // connection that has no open request. A request that has been run there was open. Called under the lock.
 func (c *Checker) crossedClose(t *tried) bool {
 	_, ran := c.server(t.server).started[t.id]
+	if t.sent != nil {
+		ran = !t.sent.ran.IsZero()
+	}
 	return c.crossed != nil && !ran && time.Since(t.at) <= closeCrossing+c.slack
 }
 
--- a/rig/judge_test.go
+++ b/rig/judge_test.go
@@ -166,7 +166,7 @@
 		"pushed back once run": {func(s *stubServer, h Heard, out []byte) []byte {
 			s.run(h.Call, h.Method, h.Body)
 			return thrift.PushedBack(out, h.Seq, false, 0, 1)
-		}, 2, "where it had been run"},
+		}, 2, "had been run"},
 		"an answer that cannot be read": {func(s *stubServer, h Heard, out []byte) []byte {
 			whole := s.honest(h, nil)
 			whole[len(whole)-1] = 8 // in place of the end
@@ -265,6 +265,28 @@
 	}
 }
 
+// A repeat of what has been run is not pushed back either, as long as its window lasts.
+func TestJudgePushedBackRepeat(t *testing.T) {
+	for name, one := range map[string]struct {
+		ago  time.Duration // the run
+		what string
+	}{"within its window": {time.Second, "had been run"}, "past it": {time.Minute, ""}} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestTrial(t, KernelConfig{})
+			s.sent(tryA, "write", "token", nil, 0)
+			s.sent(tryB, "write", "token", nil, 0)
+			first := s.check.servers["n1"].ledger.byCall[tryA][0]
+			first.ran, first.recv = first.at.Add(-one.ago), first.recv.Add(-one.ago)
+			s.check.replied(s.flow, reply{kind: replyPushedBack, seq: 2}, nil)
+			if one.what == "" {
+				s.none(t)
+				return
+			}
+			s.one(t, 2, one.what)
+		})
+	}
+}
+
 // A run of what came past the grace is found, by when it came and not by when it began.
 func TestJudgeGrace(t *testing.T) {
 	s := newStubServer(t, KernelConfig{})
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -46,7 +46,7 @@
 
 // NewKernel listens on a free port. It stops runs on PREEMPT and has no gauges.
 func NewKernel(server string, cores int, check *Checker) (*Kernel, error) {
-	return NewConfiguredKernel(server, legacyKernel(cores), check)
+	return NewConfiguredKernel(server, plainKernel(cores), check)
 }
 
 // NewConfiguredKernel listens on a free port, for a deployment's settings.
--- a/rig/kernel_commands.go
+++ b/rig/kernel_commands.go
@@ -16,8 +16,8 @@
 	over  bool     // its request has been answered, or given up
 }
 
-// longestCommand bounds a line.
-const longestCommand = 1 << 20
+// longestCommand bounds a line: a body of 2 KiB and a name of some hundred bytes, however they are written.
+const longestCommand = 64 << 10
 
 func (k *Kernel) serve(listener net.Listener) {
 	for {
--- a/rig/kernel_config.go
+++ b/rig/kernel_config.go
@@ -41,7 +41,7 @@
 	Window time.Duration // fallS
 }
 
-// legacyKernel is what most experiments have: PREEMPT discards, SYSINFO is answered without figures.
-func legacyKernel(cores int) KernelConfig {
+// plainKernel is what most experiments have: PREEMPT discards, SYSINFO is answered without figures.
+func plainKernel(cores int) KernelConfig {
 	return KernelConfig{Cores: cores, Preemption: PreemptDiscard, Gauges: []string{}}
 }
