--- a/rig/flow.go
+++ b/rig/flow.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// flow is one connection of a client, by which the checker knows it: through the network, or of a client that tells the
-// checker itself what it writes and reads.
+// flow is one connection of a client through the network, by which the checker knows it.
 type flow struct {
 	*Net
 	caller, server net.Conn
@@ -21,15 +20,6 @@
 	counted *ledger       // where it counts as a connection; under the checker's lock
 }
 
-// newFlow is a connection of a client that speaks to an app server with no network between. The client calls watchRequest
-// before the last byte of each message that it writes and watchReply for each that it reads, both without the length, and
-// Checker.Ended once the connection is over. Where it has not read, it sets unread.
-func newFlow(server string, check *Checker) *flow {
-	f := &flow{Net: &Net{server: server, check: check}}
-	check.connected(f)
-	return f
-}
-
 // watchRequest tells the checker of a message that goes to the app server; owed says that it has to be answered under seq.
 func (f *flow) watchRequest(message []byte) (seq int32, owed bool) {
 	q, err := readRequest(message)
--- a/rig/kernel_test.go
+++ b/rig/kernel_test.go
@@ -128,6 +128,13 @@
 	return &testTrial{check: c, kernel: k, flow: newFlow("n1", c)}
 }
 
+// newFlow is a connection with no network.
+func newFlow(server string, check *Checker) *flow {
+	f := &flow{Net: &Net{server: server, check: check}}
+	check.connected(f)
+	return f
+}
+
 // sent has a client send an RPC, in the ledger only.
 func (s *testTrial) sent(call, method, token string, body []byte, work float64) {
 	s.check.terms.Catalog.Add(call, Entry{RPC: "rpc " + call, Work: work})
