Failing test: what lay unread past the threshold is refused on free cores

A log in the module: 'refuse ... oldest 0.220 thr 0.089 age 0.220, mem 396 room 247608' on idle cores.

--- a/logic/desk_test.go
+++ b/logic/desk_test.go
@@ -18,6 +18,7 @@
 	quiet   bool    // print nothing
 	reaps   bool    // print when idle connections are closed, and nothing else
 	short   int     // method that a common limit keeps from starting, plus one; 0 for none
+	onStart func(i int)
 }
 
 const (
@@ -75,7 +76,12 @@
 	}
 	return 0
 }
-func (d *desk) Start(i int)               { d.say("start %d", i) }
+func (d *desk) Start(i int) {
+	d.say("start %d", i)
+	if d.onStart != nil {
+		d.onStart(i)
+	}
+}
 func (d *desk) Stop(i int)                { d.say("stop %d", i) }
 func (d *desk) Call(i int, p float64)     { d.say("call %d, patience %.2f", i, p) }
 func (d *desk) Skip(i int)                { d.say("skip %d's call", i) }
