What can be started is not refused for the time that it lay unread

Cause: logic/logic.go, Arrive, had shed before pump: an arrival counted itself as the oldest queued RPC, with the time in which it lay unread. Where that passes the threshold, a third of the tightest latency target (settings with slow reading beside a tight method), each arrival refused itself on free cores, and no app server ever answered with a result. Now what can be started is, and the refusal looks at what then still waits.

Kin: Boot's and update's delay look at what is queued after a pump already; takeOver's arrival is never started there.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -50,8 +50,7 @@
 	callTook            hist
 	callBest            float64 // the best median of late
 	well                float64 // when a run last ended well, or the first one began
-	stuck               bool
-	leaving             bool
+	stuck, leaving      bool
 	noticed, stop       float64
 }
 
@@ -170,6 +169,7 @@
 		m.giveUp(i)
 	default:
 		m.remember(i)
+		m.pump() // what can be started is not refused, however long it lay unread
 		m.shed(i)
 	}
 	m.pump()
