Start where methods may call a layer below; refuse their RPCs as never run

Cause: config.check refused domain.below one_for_all and tier, as the gate's Call does nothing and such a run would wait for its call until its deadline. Each process of such a deployment exited with 1 at its start (Example_below before the change). Ruled out: to run them all the same, as the kernel would hold cores' worth of memory for calls that never come.

An RPC of a method with callsByClass true is pushed back on arrival with stop, as no app server of this build can serve it, and with the longest advice that ceilings allow; it is not counted as odd. Nothing of such a method ever runs, so no repeat of a tokened one is owed anything. All other methods run. One line a method at the start. Unknown words of below, signal and preemption still end the start, now under their own keys (rpc.SettingError).

Result: Example_below, Example_keyErrors, Example_callsBelow pass.

--- a/config/config.go
+++ b/config/config.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/netip"
 	"os"
@@ -137,8 +138,6 @@
 		return keyError("limits.cores", "%g is negative", c.Cores)
 	case len(c.Methods) == 0:
 		return keyError("settings.profiles", "no method is named")
-	case c.Rules.Machine.Below != "" && c.Rules.Machine.Below != "none":
-		return keyError("settings.domain.below", "calls to %q are not built yet", c.Rules.Machine.Below)
 	}
 	seen := map[string]bool{}
 	for k, m := range c.Rules.Methods {
@@ -157,8 +156,8 @@
 		}
 		seen[c.Methods[k]] = true
 	}
-	if err := c.Rules.Check(); err != nil {
-		return keyError("settings", "%v", err)
+	if invalid := (*rpc.SettingError)(nil); errors.As(c.Rules.Check(), &invalid) {
+		return keyError("settings."+invalid.Path, "%s", invalid.Reason)
 	}
 	return nil
 }
--- a/gate/actions.go
+++ b/gate/actions.go
@@ -34,7 +34,7 @@
 }
 
 func (a *actions[T]) Stop(i int)         { a.job(i, Pause) }
-func (a *actions[T]) Call(int, float64)  {} // the config lets no method call
+func (a *actions[T]) Call(int, float64)  {} // methods that may call are refused before they get here
 func (a *actions[T]) Skip(int)           {}
 func (a *actions[T]) Abort(i int)        { a.gate().answer(i, Job[T]{Do: Abort}) }
 func (a *actions[T]) Publish(v float64)  { a.credit = v }
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -28,6 +28,10 @@
 		c.unreadable(seq, "ttl")
 		return
 	}
+	if c.config.Load().Rules.MayCall(method) {
+		c.refuseUnserved(seq)
+		return
+	}
 	if c.press.on.Load() {
 		c.press.came(method, now-recv)
 		if c.turnsAway(seq, method, dedupe, recv, len(body)) {
@@ -70,6 +74,24 @@
 	return true
 }
 
+// refuseUnserved answers an RPC of a method that may call the layer below, which no app server of this build can. Such a
+// method never runs, so no try of the RPC has been run either.
+func (c *conn) refuseUnserved(seq int32) {
+	after := c.config.Load().Rules.LongestAdvice()
+	c.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, true, after, load) })
+}
+
+// logUnserved names each method whose RPCs are all refused.
+func (s *Server) logUnserved() {
+	c := s.config.Load()
+	for method, name := range c.Methods {
+		if c.Rules.MayCall(method) {
+			s.log.Warn("method not served, as it may call the layer below", zap.String("method", name),
+				zap.String("below", c.Rules.Machine.Below))
+		}
+	}
+}
+
 // offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
 const offClock = 3600.0
 
--- a/server/server.go
+++ b/server/server.go
@@ -171,6 +171,7 @@
 		defer end()
 		return s.leave(ctx, all, listener, closed)
 	})
+	s.logUnserved()
 	s.log.Info("serving", zap.Stringer("listen", listener.Addr()))
 	err = s.group.Wait()
 	if errors.Is(err, context.Canceled) {
