gate: failing tests of tokens of unlike windows, of two methods, and of preemption left out

Example_tokensOfTwoMethods: the same token under another method is aborted, and after that not taken. Example_preemption: with preemption left out a run is stopped by a command that the site does not allow.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -474,3 +474,82 @@
 	//  0.04 c: ok "1"
 	// 0 run, 0 wait
 }
+
+// One method's window is a day, another's a second: tokens of the second go after theirs, however many of the first came
+// before them.
+func Example_windowsApart() {
+	s := openTold(2, 1000, func(c *rpc.Settings) {
+		c.Methods = append(c.Methods, c.Methods[write])
+		c.Methods[write].Window = 86400
+		c.Methods[write+1].Window = 1
+		c.Machine.EntryKB = 0.01
+	})
+	s.arrive("day", write, "day")
+	s.report("day", rpc.OK, "1")
+	for k := range 100 {
+		s.ids["x"], _ = s.Arrive(s.now, write+1, 0, s.now, s.now+4, 20, false, "x", fmt.Sprint(k), nil, "x")
+		s.Report(s.now, s.ids["x"], rpc.OK, 0.1, []byte("result"))
+	}
+	none, stop := context.WithCancel(context.Background())
+	stop()
+	for job, err := s.Pick(none); err == nil; job, err = s.Pick(none) {
+		_ = job
+	}
+	s.pass(unread + 2)
+	fmt.Println(len(s.tokens.entries), s.tokens.bytes)
+	s.arrive("day again", write, "day")
+	// Output:
+	//  0.00 day: run
+	//  0.00 day: ok "1"
+	// 1 1
+	//  7.00 day again: ok "1"
+}
+
+// Two methods number their tokens each on its own: the same token under both is two RPCs, and each has its own result.
+func Example_tokensOfTwoMethods() {
+	s := openTold(2, 1000, func(c *rpc.Settings) { c.Methods = append(c.Methods, c.Methods[write]) })
+	s.arrive("a1", write, "t")
+	s.arrive("b1", write+1, "t")
+	s.report("a1", rpc.OK, "of a")
+	s.report("b1", rpc.OK, "of b")
+	s.arrive("b2", write+1, "t")
+	s.arrive("a2", write, "t")
+	// Output:
+	//  0.00 a1: run
+	//  0.00 b1: run
+	//  0.00 a1: ok "of a"
+	//  0.00 b1: ok "of b"
+	//  0.00 b2: ok "of b"
+	//  0.00 a2: ok "of a"
+}
+
+// Runs are stopped only where the settings name a way to stop them: a site that names none allows no such command.
+func Example_preemption() {
+	for _, way := range []rpc.Preemption{"", rpc.Unstoppable, rpc.Discards, rpc.Freezes} {
+		s := openTold(1, 1000, func(c *rpc.Settings) { c.Machine.Preemption = way })
+		fmt.Printf("%q\n", way)
+		s.arrive("a", read, "")
+		s.arrive("b", read, "")
+		s.pass(1.3) // a has lost its worth, b waits
+		s.gone("a")
+		s.arrive("c", write, "t")
+		s.gone("c")
+	}
+	// Output:
+	// ""
+	//  0.00 a: run
+	//  1.22 b: pushed back
+	// "none"
+	//  0.00 a: run
+	//  1.22 b: pushed back
+	// "discard"
+	//  0.00 a: run
+	//  1.22 a: pushed back
+	//  1.22 a: pause
+	//  1.22 b: pushed back
+	// "freeze"
+	//  0.00 a: run
+	//  1.22 a: pushed back
+	//  1.22 a: pause
+	//  1.22 b: pushed back
+}
