--- a/logic/queue.go
+++ b/logic/queue.go
@@ -116,7 +116,7 @@
 		m.records[w.method].late.add(m.now - w.began)
 		m.move(i, orphaned)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
-		if m.Machine.Preemption != rpc.Unstoppable && m.Methods[w.method].Kind != rpc.Tokened && w.leads == 0 {
+		if m.Machine.Preemption.Stops() && m.Methods[w.method].Kind != rpc.Tokened && w.leads == 0 {
 			m.do.Stop(i)
 		}
 	case paused, calling:
@@ -146,7 +146,7 @@
 		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
 		if w.state.owed() && (m.now > w.due-margin || w.state == queued && m.hopeless(w) ||
 			lost && (w.state == paused || w.state == calling || w.state == running &&
-				m.oldest(0) >= 0 && m.Machine.Preemption != rpc.Unstoppable)) {
+				m.oldest(0) >= 0 && m.Machine.Preemption.Stops())) {
 			m.giveUp(i)
 		}
 	}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -37,6 +37,9 @@
 	Freezes     Preemption = "freeze"
 )
 
+// Stops tells whether a running RPC may be stopped. Left out, the word names no way to do it.
+func (p Preemption) Stops() bool { return p == Discards || p == Freezes }
+
 // Signal says what callers make of the published value.
 type Signal string
 
