gate: tokens go when their own window ends, and each method has its own

Cause: gate/tokens.go kept its entries in line by when they were remembered, and expire looked at the first alone. A recv up to an hour ahead did the same. Results had a line of their own with the same mistake. The table was keyed by the token alone: the same token under another method was aborted, or told off as another body's.

Change: expiry is a heap by end; results are a list from which each is taken out in place; entries are named by method and token (tokenID). A result is trimmed only once those that waited for it have it.

The figures of the table that three older examples print (len of oldest, of results) are those of the heap and the list now, as strict.

--- a/gate/actions.go
+++ b/gate/actions.go
@@ -50,7 +50,7 @@
 	if s.token == "" {
 		return // what is read about is not told here
 	}
-	s.entry = a.tokens.remember(s.token, s.body, ID{i, s.life}, a.now+s.ahead+span)
+	s.entry = a.tokens.remember(tokenID{s.method, s.token}, s.body, ID{i, s.life}, a.now+s.ahead+span)
 }
 
 func (a *actions[T]) Forget(i int) {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -55,7 +55,7 @@
 	who   T
 	uid   string // its name outside, given to one RPC in hand at a time
 	token string
-	body  uint64  // digest of its method and body
+	body  uint64  // digest of it
 	from  int     // its caller's index
 	ahead float64 // by how much recv lies ahead of the clock
 	entry *entry  // under which the module knows its token
@@ -222,8 +222,8 @@
 	var e *entry
 	digest := uint64(0)
 	if token != "" {
-		digest = maphash.Bytes(g.seed, body) + uint64(method)
-		if e = g.tokens.find(token, recv); e != nil && e.body != digest && e.proven() {
+		digest = maphash.Bytes(g.seed, body)
+		if e = g.tokens.find(tokenID{method, token}, recv); e != nil && e.body != digest && e.proven() {
 			return ID{}, false
 		}
 	}
@@ -260,10 +260,10 @@
 
 // Knows tells whether an RPC repeats one that is in hand or has run: such a one is not refused beside the module, as what
 // has begun is never turned away.
-func (g *Gate[T]) Knows(token string, recv float64) bool {
+func (g *Gate[T]) Knows(method int, token string, recv float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tokens.find(token, recv) != nil
+	return g.tokens.find(tokenID{method, token}, recv) != nil
 }
 
 // Keep bounds the bytes of kept results anew; the oldest past it go at once, and their repeats are aborted, never run.
@@ -312,6 +312,7 @@
 	}
 	g.end(id.i, how, took, result)
 	g.settle()
+	g.tokens.trim()
 }
 
 // end answers an RPC whose outcome is there, if an answer is owed, and tells the module.
@@ -336,7 +337,7 @@
 		case e.state == kept && e.body == s.body:
 			g.end(i, rpc.OK, 0, e.result)
 		case e.state == forgotten: // it never ran: the next may
-			if s.entry = g.tokens.entries[s.token]; s.entry != nil {
+			if s.entry = g.tokens.entries[tokenID{s.method, s.token}]; s.entry != nil {
 				(*actions[T])(g).Follow(i)
 			} else {
 				g.end(i, rpc.Moot, 0, nil)
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -199,7 +199,7 @@
 		s.ids["b"], _ = s.Arrive(s.now, write, 0, s.now, s.now+4, 20, false, "b", fmt.Sprint(k), nil, "b")
 		s.Gone(s.now, s.ids["b"])
 	}
-	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest) < 100, len(s.slots))
+	fmt.Println(len(s.tokens.entries), len(s.tokens.expiry) == 1, len(s.slots))
 	// Output:
 	//  0.00 a: run
 	// 1 true 2
@@ -372,7 +372,7 @@
 		s.came("a2", write, s.now-25, "t", "body")
 		s.pass(unread + 0.1)
 		s.arrive("b1", write, "t")
-		fmt.Println(len(s.tokens.entries), len(s.tokens.oldest))
+		fmt.Println(len(s.tokens.entries), len(s.tokens.expiry))
 	}
 	// Output:
 	//  0.00 a1: run
@@ -404,7 +404,7 @@
 	send("a4")
 	s.report("a1", rpc.OK, "done")
 	s.pass(0.1)
-	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest), len(s.tokens.results), s.tokens.bytes)
+	fmt.Println(len(s.tokens.entries), len(s.tokens.expiry), s.tokens.results.Len(), s.tokens.bytes)
 	send("b1")
 	s.pass(1)
 	// Output:
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"container/heap"
+	"container/list"
 	"slices"
 
 	"valveglade/rpc"
@@ -17,18 +19,29 @@
 	forgotten // it never ran, or its window has passed
 )
 
+// tokenID names a tokened request: each method numbers its own.
+type tokenID struct {
+	method int
+	token  string
+}
+
 // entry is one remembered token.
 type entry struct {
-	token     string
+	id        tokenID
 	body      uint64 // digest of what all its tries carry
 	runner    ID     // the try that runs or ran, or is held
 	end       float64
-	unlisted  bool // its time is over, and what it runs is not
+	place     int // in the table's expiry queue, noPlace if it is not there
 	state     standing
 	result    []byte
+	stored    *list.Element // among the table's results, nil if it is not there
 	followers []int
 }
 
+// noPlace is of an entry that is not in the expiry queue: its window is over and its outcome still to come, or it has been
+// let go.
+const noPlace = -1
+
 // inHand tells whether an outcome is still to come.
 func (e *entry) inHand() bool { return e.state == waiting || e.state == started }
 
@@ -41,12 +54,40 @@
 	}
 }
 
+// expiryQueue is a heap of entries, the first to end first: methods have windows of seconds and of days side by side.
+type expiryQueue []*entry
+
+func (q expiryQueue) Len() int           { return len(q) }
+func (q expiryQueue) Less(a, b int) bool { return q[a].end < q[b].end }
+
+func (q expiryQueue) Swap(a, b int) {
+	q[a], q[b] = q[b], q[a]
+	q[a].place, q[b].place = a, b
+}
+
+// Push is the heap's own.
+func (q *expiryQueue) Push(x any) {
+	e := x.(*entry)
+	e.place = len(*q)
+	*q = append(*q, e)
+}
+
+// Pop is the heap's own.
+func (q *expiryQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	(*q)[last] = nil
+	*q = (*q)[:last]
+	e.place = noPlace
+	return e
+}
+
 // table remembers tokens for as long as the module says. It keeps them a little longer, as a repeat counts
 // by when it came to the machine, not by when it is read.
 type table struct {
-	entries map[string]*entry
-	oldest  []*entry // by when they were remembered
-	results []*entry // with a result, the first to be kept first
+	entries map[tokenID]*entry
+	expiry  expiryQueue
+	results *list.List // of entries with a result, the first to be kept first
 	bytes   int
 	limit   int
 	looked  float64 // when it was last looked through
@@ -57,46 +98,49 @@
 // not. Looks come fifty times a second; half of unread leaves the other half for reading what came meanwhile.
 const unread, asleep = 5.0, unread / 2
 
-func newTable(limit int) table { return table{entries: map[string]*entry{}, limit: limit} }
+func newTable(limit int) table {
+	return table{entries: map[tokenID]*entry{}, results: list.New(), limit: limit}
+}
 
 // find gives the entry that was live when the repeat came to the machine. One whose outcome is still to come lives on past
 // its window: windows may be shorter than RPCs are held and run, and the repeat would run beside what it repeats.
-func (t *table) find(token string, recv float64) *entry {
-	if e := t.entries[token]; e != nil && (recv <= e.end || e.inHand()) {
+func (t *table) find(id tokenID, recv float64) *entry {
+	if e := t.entries[id]; e != nil && (recv <= e.end || e.inHand()) {
 		return e
 	}
 	return nil
 }
 
 // remember keeps a token, or hands its entry over to a further try.
-func (t *table) remember(token string, body uint64, runner ID, end float64) *entry {
-	old := t.entries[token]
+func (t *table) remember(id tokenID, body uint64, runner ID, end float64) *entry {
+	old := t.entries[id]
 	if old != nil && old.state == waiting {
 		old.body, old.runner, old.end = body, runner, end // those that follow it go on doing so
-		if old.unlisted {
-			old.unlisted = false
-			t.oldest = append(t.oldest, old)
-		}
+		t.list(old)
 		return old
 	}
-	e := &entry{token: token, body: body, runner: runner, end: end}
 	if old != nil {
 		t.drop(old)
 	}
-	t.entries[token] = e
-	// Guards against callers whose tokened RPCs are all refused: what was forgotten would stay in line behind the
-	// first that is not, for a whole window.
-	if len(t.oldest) > 64+2*len(t.entries) {
-		t.oldest = slices.DeleteFunc(t.oldest, func(e *entry) bool { return t.entries[e.token] != e })
-	}
-	t.oldest = append(t.oldest, e)
+	e := &entry{id: id, body: body, runner: runner, end: end, place: noPlace}
+	t.entries[id] = e
+	t.list(e)
 	return e
 }
 
+// list puts an entry where its end belongs in the expiry queue.
+func (t *table) list(e *entry) {
+	if e.place == noPlace {
+		heap.Push(&t.expiry, e)
+	} else {
+		heap.Fix(&t.expiry, e.place)
+	}
+}
+
 // forget gives those that waited for what has never run.
 func (t *table) forget(e *entry) []int {
-	if t.entries[e.token] == e {
-		delete(t.entries, e.token)
+	if t.entries[e.id] == e {
+		delete(t.entries, e.id)
 	}
 	t.drop(e)
 	e.state = forgotten
@@ -105,27 +149,37 @@
 	return followers
 }
 
+// drop takes an entry's result and its place in the expiry queue.
 func (t *table) drop(e *entry) {
+	t.dropResult(e)
+	if e.place != noPlace {
+		heap.Remove(&t.expiry, e.place)
+	}
+}
+
+func (t *table) dropResult(e *entry) {
 	t.bytes -= len(e.result)
 	e.result = nil
-	e.end = 0
+	if e.stored != nil {
+		t.results.Remove(e.stored)
+		e.stored = nil
+	}
 }
 
-// finish notes the outcome of the try that ran and gives those that wait for it.
+// finish notes the outcome of the try that ran and gives those that wait for it. A result may pass the limit until the next
+// trim: those that wait for it are served first.
 func (t *table) finish(e *entry, how rpc.Outcome, result []byte) []int {
+	if how.NeverRan() {
+		return t.forget(e) // so a further try may run
+	}
 	e.state = failed
-	if e.unlisted { // its followers get the outcome, and then it goes
-		e.unlisted = false
-		t.oldest = slices.Insert(t.oldest, 0, e)
+	if e.place == noPlace { // its followers get the outcome, and then it goes
+		t.list(e)
 	}
-	switch {
-	case how == rpc.OK:
+	if how == rpc.OK {
 		e.state, e.result = kept, result
+		e.stored = t.results.PushBack(e)
 		t.bytes += len(result)
-		t.results = append(t.results, e)
-		t.trim()
-	case how.NeverRan():
-		return t.forget(e) // so a further try may run
 	}
 	followers := e.followers
 	e.followers = nil
@@ -134,12 +188,10 @@
 
 // trim drops the oldest results past the limit. A repeat of theirs is aborted, and still never run.
 func (t *table) trim() {
-	for len(t.results) > 0 && (t.bytes > t.limit || t.results[0].result == nil) {
-		if e := t.results[0]; e.result != nil {
-			t.bytes -= len(e.result)
-			e.result, e.state = nil, failed
-		}
-		t.results = t.results[1:]
+	for t.bytes > t.limit && t.results.Len() > 0 {
+		e := t.results.Front().Value.(*entry)
+		t.dropResult(e)
+		e.state = failed
 	}
 }
 
@@ -150,13 +202,10 @@
 		t.holds = now + unread
 	}
 	t.looked = now
-	for now >= t.holds && len(t.oldest) > 0 && t.oldest[0].end+unread < now {
-		if e := t.oldest[0]; e.inHand() && t.entries[e.token] == e {
-			e.unlisted = true // until its outcome is there
-		} else {
+	for now >= t.holds && len(t.expiry) > 0 && t.expiry[0].end+unread < now {
+		e := heap.Pop(&t.expiry).(*entry)
+		if !e.inHand() { // else it stays until its outcome is there
 			t.forget(e)
 		}
-		t.oldest = t.oldest[1:]
 	}
-	t.trim()
 }
