--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -553,3 +553,59 @@
 	//  1.22 a: pause
 	//  1.22 b: pushed back
 }
+
+// Where no results are kept at all, those that waited for one get it all the same, and later repeats are aborted, not run.
+func Example_keepNothing() {
+	s := open(1, 0)
+	s.arrive("a1", write, "t")
+	s.arrive("a2", write, "t")
+	s.report("a1", rpc.OK, "done")
+	s.arrive("a3", write, "t")
+	fmt.Println(s.tokens.bytes, s.tokens.results.Len())
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 a2: ok "done"
+	//  0.00 a3: aborted
+	// 0 0
+}
+
+// A window of days and tokens that cost the machine nothing, or next to it: the process's own memory bounds them. Past that
+// tokened RPCs are pushed back, others run.
+func Example_tokensBound() {
+	for _, memory := range []float64{0, 4000, 1e12} {
+		for _, entry := range []float64{0, 1e-9} {
+			s := openTold(2, 0, func(c *rpc.Settings) {
+				c.Methods[write].Window = 30 * 86400
+				c.Machine.EntryKB, c.Machine.MemoryKB = entry, memory
+			})
+			did := map[Do]int{}
+			none, stop := context.WithCancel(context.Background())
+			stop()
+			for k := range 2 * leastTokens {
+				id, _ := s.Arrive(s.now, write, 0, s.now, s.now+4, 20, false, "x", fmt.Sprint(k), nil, "x")
+				s.Report(s.now, id, rpc.OK, 0.01, nil)
+				s.now += 0.1
+				for job, err := s.Pick(none); err == nil; job, err = s.Pick(none) {
+					did[job.Do]++
+				}
+			}
+			fmt.Println(memory, entry, did[Run] == len(s.tokens.entries), did[Run] > leastTokens*9/10, did[Run] <= leastTokens+1,
+				did[Serve] == did[Run], did[Run]+did[PushBack] == 2*leastTokens)
+			s.arrive("read", read, "")
+		}
+	}
+	// Output:
+	// 0 0 true true true true true
+	// 204.80 read: run
+	// 0 1e-09 true true true true true
+	// 204.80 read: run
+	// 4000 0 true true true true true
+	// 204.80 read: run
+	// 4000 1e-09 true true true true true
+	// 204.80 read: run
+	// 1e+12 0 true true true true true
+	// 204.80 read: run
+	// 1e+12 1e-09 true true true true true
+	// 204.80 read: run
+}
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -19,6 +19,23 @@
 	forgotten // it never ran, or its window has passed
 )
 
+// entryBytes is about what a remembered token takes in this process, beside its result: its entry, its places in the table,
+// and the module's note of it. leastTokens are remembered however little memory there is.
+const entryBytes, leastTokens = 384, 1 << 10
+
+// unlimitedKB stands in for a machine whose memory is not told.
+const unlimitedKB = 1e12
+
+// boundTokens sees to it that what the module lets tokens take of the machine's memory, half of it, is never more of them
+// than fit into so many bytes of this process: at some sites a token costs the machine nothing, and its window is days.
+func boundTokens(m *rpc.Machine, bytes int) {
+	if m.MemoryKB <= 0 {
+		m.MemoryKB = unlimitedKB
+	}
+	most := max(bytes/entryBytes, leastTokens)
+	m.EntryKB = max(m.EntryKB, m.MemoryKB/2/float64(most))
+}
+
 // tokenID names a tokened request: each method numbers its own.
 type tokenID struct {
 	method int
