gate: tokens are bounded by the process's own memory where the machine's does not bound them

Cause: the only bound on remembered tokens was the module's, half of memoryKb by entryKb each: with entryKb 0, left out or tiny, or memoryKb left out, none.

Change: gate.New raises entryKb as told to the module so that half of memoryKb holds no more tokens than fit into an eighth of the process's memory (entryBytes each, at least leastTokens): the module's own rule does the rest, no line of policy more. Where entryKb is that large already nothing changes.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -168,6 +168,7 @@
 
 // New starts a gate; keep bounds the bytes of kept results.
 func New[T any](now float64, c rpc.Settings, keep int) *Gate[T] {
+	boundTokens(&c.Machine, keep)
 	g := &Gate[T]{settings: c, now: now, callers: map[int]int{}, uids: map[string]struct{}{}, seed: maphash.MakeSeed(), tokens: newTable(keep), credit: -1,
 		reap: c.Machine.KeepAlive, ready: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
 	g.module = logic.New(now, c, (*actions[T])(g))
