--- a/cmd/rehearse/faults.go
+++ b/cmd/rehearse/faults.go
@@ -15,6 +15,7 @@
 
 // faultFlags are those of the search for faults.
 type faultFlags struct {
+	first   int    // of the trials of a seed
 	trials  int    // 0 for as many as the form has
 	aside   int    // trials side by side
 	replays int    // at most, to cut one failing trial down
@@ -22,6 +23,9 @@
 	planted bool   // play the planted faults instead
 }
 
+// trialSeeds is how many seeds of trials each seed of a run has.
+const trialSeeds = 1_000_000
+
 // Trials in a run of each form, and how many failing ones are cut down.
 const (
 	faultTrials      = 100
@@ -32,6 +36,7 @@
 
 func (f *faultFlags) register(cmd *cobra.Command) {
 	cmd.Flags().IntVar(&f.trials, "trials", 0, "trials of faults, whose seeds follow one another")
+	cmd.Flags().IntVar(&f.first, "first", 0, "the first of the trials of faults, counted from 0")
 	cmd.Flags().IntVar(&f.aside, "aside", 2, "trials of faults that are played side by side")
 	cmd.Flags().IntVar(&f.replays, "replays", 24, "trials at most to cut a failing one of faults down")
 	cmd.Flags().StringVar(&f.only, "only", "", "play this case of faults alone, as a failing trial prints it, or @FILE")
@@ -76,7 +81,7 @@
 	if err != nil {
 		return err
 	}
-	r, err := p.trial(c)
+	r, err := p.steadyTrial(c)
 	if err != nil {
 		return err
 	}
@@ -106,7 +111,7 @@
 		})
 	}
 	for k := range trials {
-		seeds <- p.Seed<<20 + uint64(k)
+		seeds <- p.Seed*trialSeeds + uint64(p.faults.first+k)
 	}
 	close(seeds)
 	players.Wait()
@@ -115,7 +120,7 @@
 }
 
 func (p *play) playSeed(seed uint64, tally *faultTally) {
-	r, err := p.trial(drawn.Draw(seed))
+	r, err := p.steadyTrial(drawn.Draw(seed))
 	tally.mu.Lock()
 	defer tally.mu.Unlock()
 	if err != nil {
@@ -130,17 +135,36 @@
 	}
 }
 
+// trialsAgain bounds how often a trial is played again.
+const trialsAgain = 2
+
+// steadyTrial plays a case, and once more where its violations are about time alone and the machine kept an app server or this
+// process from its core.
+func (p *play) steadyTrial(c drawn.Case) (*trialResult, error) {
+	for again := 0; ; again++ {
+		r, err := p.trial(c)
+		if err != nil {
+			return nil, err
+		}
+		if r.again = again; again == trialsAgain || !r.starved() {
+			return r, nil
+		}
+		p.say("seed %d is played again: the machine was late by %v; %.200s", c.Seed, r.waited.Round(time.Millisecond), r.violations[0])
+	}
+}
+
 // judgeTrials gives the figures of all trials.
 func (p *play) judgeTrials(t *faultTally) {
-	restarts, ready, tries, runs, kinds := 0, 0, 0, 0, map[drawn.FaultKind]int{}
+	restarts, ready, tries, runs, again, kinds := 0, 0, 0, 0, 0, map[drawn.FaultKind]int{}
 	for _, r := range t.results {
 		restarts, ready = restarts+r.restarts, ready+r.ready
-		tries, runs = tries+r.tries, runs+r.runs
+		tries, runs, again = tries+r.tries, runs+r.runs, again+r.again
 		for _, f := range r.drawn.Faults {
 			kinds[f.Kind]++
 		}
 	}
 	p.inform("trials", float64(len(t.results)))
+	p.inform("trials.again", float64(again))
 	p.inform("tries", float64(tries))
 	p.inform("runs", float64(runs))
 	for _, kind := range drawn.Kinds() {
--- a/cmd/rehearse/faults_server.go
+++ b/cmd/rehearse/faults_server.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -113,12 +115,20 @@
 
 // watch looks whether the process answers health checks while it runs.
 func (s *trialServer) watch(ctx context.Context) {
+	var waits []time.Duration // of the last second
 	for ctx.Err() == nil {
 		s.look()
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(lookEvery)
+		if waits = append(waits, s.program.Waited()); len(waits) > int(time.Second/lookEvery) {
+			waits = waits[1:]
+		}
+		s.noteWait(waits[len(waits)-1] - waits[0]) // below 0 over a restart
 	}
 }
 
+// lookEvery is between two looks at a process.
+const lookEvery = 50 * time.Millisecond
+
 func (s *trialServer) look() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +181,12 @@
 
 // judge looks at the log and at what was served.
 func (s *trialServer) judge() {
+	if s.p.Logs != "" {
+		name := filepath.Join(s.p.Logs, fmt.Sprintf("%d-%s.log", s.drawn.Seed, s.program.Name))
+		if err := os.WriteFile(name, []byte(s.logs), 0o644); err != nil {
+			s.p.say("%v", err)
+		}
+	}
 	for _, word := range []string{"panic:", "fatal error:", "DATA RACE"} {
 		if at := strings.Index(s.logs, word); at >= 0 {
 			s.violate("rule 4: %s logs %q: %.600s", s.program.Name, word, s.logs[at:])
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -33,6 +33,20 @@
 	violations      []string
 	restarts, ready int
 	tries, runs     int
+	again           int           // how often it was played again
+	waited          time.Duration // the longest that a process waited for a core, within a second
+}
+
+// aboutTime is in violations that a machine may cause which is late itself.
+var aboutTime = regexp.MustCompile(`after its (deadline|stop)|answers nobody|never answered|did not end by itself|at rest|closed the connection over it`)
+
+// mostWaited is how long a process may wait for a core, within a second, before violations about time show nothing.
+const mostWaited = 200 * time.Millisecond
+
+// starved tells whether the violations show nothing but that the machine was busy.
+func (r *trialResult) starved() bool {
+	return r.waited > mostWaited && len(r.violations) > 0 &&
+		!slices.ContainsFunc(r.violations, func(v string) bool { return !aboutTime.MatchString(v) })
 }
 
 // class is by what a failing trial is known again when less is in it.
@@ -175,6 +189,7 @@
 		all.Go(func() { s.load(ctx) })
 		all.Go(func() { s.watch(ctx) })
 	}
+	all.Go(func() { t.witness(ctx) })
 	var faults sync.WaitGroup
 	for _, f := range t.drawn.Faults {
 		faults.Go(func() {
@@ -189,6 +204,25 @@
 	all.Wait()
 }
 
+// witnessEvery is between two looks of the witness.
+const witnessEvery = 10 * time.Millisecond
+
+// witness notes how late this process itself is.
+func (t *trial) witness(ctx context.Context) {
+	for ctx.Err() == nil {
+		began := time.Now()
+		time.Sleep(witnessEvery)
+		t.noteWait(time.Since(began) - witnessEvery)
+	}
+}
+
+// noteWait takes note of a wait for a core.
+func (t *trial) noteWait(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.result.waited = max(t.result.waited, d)
+}
+
 // rest watches the app servers without load.
 func (t *trial) rest() {
 	var all sync.WaitGroup
--- a/cmd/rehearse/main.go
+++ b/cmd/rehearse/main.go
@@ -59,6 +59,7 @@
 	Long        bool
 	Program     string // the program's binary
 	History     string // a file for what was said and done, if any
+	Logs        string // a folder for the logs of processes, if any
 	Script      string // a file of faults, if any
 	Part        string // the one part to run, if any, where an experiment has parts
 	rehearse    string // this program's binary, where it is not the one that runs
@@ -154,6 +155,7 @@
 	run.Flags().BoolVar(&p.Long, "long", false, "the long form")
 	run.Flags().StringVar(&p.Program, "program", beside("valveglade"), "the program's binary")
 	run.Flags().StringVar(&p.History, "history", "", "write all that was said and done to this file, as JSON lines")
+	run.Flags().StringVar(&p.Logs, "logs", "", "write the logs of a trial's processes to this folder, where an experiment has trials")
 	run.Flags().StringVar(&p.Script, "script", "", "play the faults of this file instead of drawing them, where an experiment draws")
 	run.Flags().StringVar(&p.Part, "part", "", "run this part alone, where an experiment has parts")
 	run.Flags().StringVar(&path, "json", "", "write the figures to this file too")
--- a/rig/process.go
+++ b/rig/process.go
@@ -149,13 +149,19 @@
 }
 
 // CPU is the processor time that the process has taken, finer than the system's clock ticks.
-func (p *Process) CPU() time.Duration {
+func (p *Process) CPU() time.Duration { return p.schedule(0) }
+
+// Waited is how long its threads have been ready and had no processor.
+func (p *Process) Waited() time.Duration { return p.schedule(1) }
+
+// schedule sums one word of its threads' schedstat, in nanoseconds.
+func (p *Process) schedule(word int) time.Duration {
 	files, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", p.Pid()))
 	all := time.Duration(0)
 	for _, f := range files {
 		if text, err := os.ReadFile(f); err == nil {
-			if words := strings.Fields(string(text)); len(words) > 0 {
-				ns, _ := strconv.ParseInt(words[0], 10, 64)
+			if words := strings.Fields(string(text)); len(words) > word {
+				ns, _ := strconv.ParseInt(words[word], 10, 64)
 				all += time.Duration(ns)
 			}
 		}
