--- a/cmd/rehearse/faults_server.go
+++ b/cmd/rehearse/faults_server.go
@@ -110,7 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.launched = time.Time{}
-	s.logs += s.program.Log()
+	s.logs = s.program.Log()
 }
 
 // watch looks whether the process answers health checks while it runs.
