--- /dev/null
+++ b/cmd/rehearse/faults_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"valveglade/rig/drawn"
+)
+
+// casesAtOnce bounds the trials that tests play side by side.
+const casesAtOnce = 6
+
+// atOnce holds a place for each trial that is played now.
+var atOnce = make(chan struct{}, casesAtOnce)
+
+// playCase plays one case with the program.
+func playCase(t *testing.T, c drawn.Case) *trialResult {
+	t.Helper()
+	atOnce <- struct{}{}
+	defer func() { <-atOnce }()
+	var out bytes.Buffer
+	p := &play{Seed: c.Seed, Program: program, rehearse: rehearse, brief: true, out: &out}
+	r, err := p.steadyTrial(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// Each case that the search has found to fail once keeps the rules.
+func TestFaultCases(t *testing.T) {
+	names, err := filepath.Glob("testdata/faults/*.json")
+	if err != nil || len(names) == 0 {
+		t.Fatal("no cases", err)
+	}
+	for _, name := range names {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".json"), func(t *testing.T) {
+			t.Parallel()
+			text, err := os.ReadFile(name)
+			if err != nil {
+				t.Fatal(err)
+			}
+			c, err := drawn.Read(string(text))
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range playCase(t, c).violations {
+				t.Errorf("%.500s", v)
+			}
+		})
+	}
+}
+
+// Some cases of the search, always the same, keep the rules.
+func TestFaults(t *testing.T) {
+	for seed := range uint64(faultTrialsBrief) {
+		c := drawn.Draw(seed)
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			for _, v := range playCase(t, c).violations {
+				t.Errorf("%.500s", v)
+			}
+			if t.Failed() {
+				t.Logf("rehearse run faults --only '%s'", c)
+			}
+		})
+	}
+}
+
+// What is planted in a program is found, and nothing where nothing is.
+func TestFaultsPlanted(t *testing.T) {
+	for _, plant := range append([]plantedFault{{name: plantNothing}}, plantedFaults...) {
+		t.Run(plant.name, func(t *testing.T) {
+			t.Parallel()
+			atOnce <- struct{}{}
+			defer func() { <-atOnce }()
+			p := &play{Seed: 1, Program: program, rehearse: rehearse, brief: true, out: &bytes.Buffer{}}
+			r, err := p.playPlant(plant.name, p.Seed)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if plant.name == plantNothing {
+				for _, v := range r.violations {
+					t.Errorf("%.500s", v)
+				}
+			} else if !plant.in(r) {
+				t.Errorf("not found: %.500q", r.violations)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/rig/drawn/drawn_test.go
@@ -0,0 +1,128 @@
+package drawn
+
+import (
+	"encoding/json"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+)
+
+const tested = 1000 // seeds
+
+// A seed gives the same case each time, whose text can be played again and whose configuration is JSON.
+func TestDraw(t *testing.T) {
+	for seed := range uint64(tested) {
+		c := Draw(seed)
+		if !reflect.DeepEqual(c, Draw(seed)) {
+			t.Fatalf("seed %d gives two cases", seed)
+		}
+		again, err := Read(c.String())
+		if err != nil || !reflect.DeepEqual(again, c) {
+			t.Fatalf("seed %d: %v\n%s\n%s", seed, err, c, again)
+		}
+		text := c.Settings.Config(Addresses{Name: "n1", Listen: "127.0.0.1:1", Kernel: "127.0.0.1:2", Roster: "127.0.0.1:3"})
+		if !json.Valid([]byte(text)) {
+			t.Fatalf("seed %d: %s", seed, text)
+		}
+		told, err := c.Settings.Told()
+		if err != nil || len(told.Settings.Profiles) != len(c.Settings.Methods) || told.Limits.MemoryMB < 32 || told.StopMS < 1000 {
+			t.Fatalf("seed %d: %v, %+v", seed, err, told)
+		}
+	}
+}
+
+// Over many seeds everything is drawn that can be.
+func TestDrawsAll(t *testing.T) {
+	paths, kinds, effects := map[string]bool{}, map[FaultKind]bool{}, map[string]bool{}
+	allOf := map[string]bool{} // effects that all methods of a case have
+	servers := map[int]bool{}
+	for seed := range uint64(tested) {
+		c := Draw(seed)
+		servers[c.Servers] = true
+		for _, k := range c.Settings.Keys {
+			paths[k.Path+" "+k.Text] = true
+		}
+		for _, f := range c.Faults {
+			kinds[f.Kind] = true
+			if f.Server >= c.Servers || f.At > c.Seconds {
+				t.Errorf("seed %d: %+v", seed, f)
+			}
+		}
+		mixed := false
+		for _, m := range c.Settings.Methods {
+			effects[m.Effect] = true
+			mixed = mixed || m.Effect != c.Settings.Methods[0].Effect
+		}
+		if !mixed && len(c.Settings.Methods) > 1 {
+			allOf[c.Settings.Methods[0].Effect] = true
+		}
+	}
+	if len(kinds) != len(Kinds()) || len(effects) != 3 || len(allOf) != 3 || len(servers) != maxServers-minServers+1 {
+		t.Errorf("%d of %d kinds of faults, %v, all of one %v, servers %v", len(kinds), len(Kinds()), effects, allOf, servers)
+	}
+	for _, want := range []string{"settings.domain.below \"tier\"", "settings.domain.passesDeadline false", "settings.domain.nCores 6e0",
+		"settings.domain.ownStats []", "stop_ms 60000", "of_later [[]]"} {
+		if !paths[want] {
+			t.Errorf("never drawn: %s", want)
+		}
+	}
+}
+
+// Keys overwrite plain ones, are left out for an empty text, and may stand under an object that is given as a whole.
+func TestConfig(t *testing.T) {
+	s := Settings{Methods: []Method{PlainMethod()}, Keys: []Key{{"stop_ms", ""}, {"limits.cores", "6e0"}, {"settings.domain.nCores", ""},
+		{"settings.of_later", "{}"}, {"settings.of_later.x", "1"}, {"of_later", "[1]"}, {"limits.memory_mb", "null"}}}
+	var read map[string]any
+	if err := json.Unmarshal([]byte(s.Config(Addresses{Name: "n1"})), &read); err != nil {
+		t.Fatal(err)
+	}
+	limits, settings := read["limits"].(map[string]any), read["settings"].(map[string]any)
+	memory, given := limits["memory_mb"]
+	_, cores := settings["domain"].(map[string]any)["nCores"]
+	_, stop := read["stop_ms"]
+	if limits["cores"] != 6.0 || memory != nil || !given || cores || stop || !reflect.DeepEqual(read["of_later"], []any{1.0}) ||
+		len(settings["of_later"].(map[string]any)) != 0 {
+		t.Errorf("%v", read)
+	}
+}
+
+// A failing case is cut down to what makes it fail, within the number of plays.
+func TestReduce(t *testing.T) {
+	c := Draw(7)
+	c.Servers = 5
+	c.Faults = []Fault{{Kind: Reload}, {At: 1, Kind: LinkCut, Server: 1}, {At: 2, Kind: Pause, Server: 4}}
+	c.Settings.Keys = []Key{{"a", "1"}, {"b", "2"}, {"c", "3"}, {"d", "4"}, {"e", "5"}}
+	c.Settings.Methods = []Method{PlainMethod(), {Name: "odd", Effect: "fragile", Deadline: "0"}, {Name: "other", Effect: "dedup"}}
+	plays := 0
+	fails := func(c Case) bool {
+		plays++
+		return slices.Contains(c.Settings.Keys, Key{"d", "4"}) &&
+			slices.ContainsFunc(c.Faults, func(f Fault) bool { return f.Kind == LinkCut }) &&
+			slices.ContainsFunc(c.Settings.Methods, func(m Method) bool { return m.Deadline == "0" })
+	}
+	least := Reduce(c, 100, fails)
+	if len(least.Faults) != 1 || len(least.Settings.Keys) != 1 || len(least.Settings.Methods) != 1 || least.Servers != 2 || !fails(least) {
+		t.Errorf("%s", least)
+	}
+	plays = 0
+	Reduce(c, 5, fails)
+	if plays != 5 {
+		t.Errorf("%d plays", plays)
+	}
+}
+
+// A text that is no case is refused.
+func TestRead(t *testing.T) {
+	whole := Draw(1).String()
+	for name, text := range map[string]string{
+		"empty":          "",
+		"not a case":     "{}",
+		"unknown key":    strings.Replace(whole, `"seed"`, `"sed"`, 1),
+		"a server of 99": strings.Replace(Case{Seed: 1, Servers: 3, Seconds: 1, Load: Load{Routers: 1}, Settings: Settings{Methods: []Method{PlainMethod()}}, Faults: []Fault{{Kind: Kill, Server: 1}}}.String(), `"server":1`, `"server":99`, 1),
+	} {
+		if _, err := Read(text); err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/rig/program.go
+++ b/rig/program.go
@@ -229,7 +229,7 @@
 	case <-p.ended():
 		return nil
 	case <-time.After(p.site.Stop + 5*time.Second):
-		p.signal(syscall.SIGKILL)
+		p.Kill()
 		return errors.New(p.Name + " did not end by itself")
 	}
 }
