--- a/cmd/rehearse/faults_inflict.go
+++ b/cmd/rehearse/faults_inflict.go
@@ -1,6 +1,11 @@
 package main
 
 import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -26,7 +31,7 @@
 	case drawn.Pause:
 		s.pause(last)
 	case drawn.Terminate:
-		s.terminate()
+		s.terminate(f.Size)
 	case drawn.Reload:
 		s.reload(s.config(s.program))
 	case drawn.ReloadMoved:
@@ -35,7 +40,7 @@
 		}
 		s.reload(s.config(s.program))
 	case drawn.ReloadFaulty:
-		s.reload(`{"name":"` + s.program.Name + `","listen":`)
+		s.reload(s.faultyConfig(f.Size))
 	case drawn.RosterSilent:
 		s.silenceRoster(last)
 	case drawn.KernelLate: // from the start on, see withhold
@@ -71,6 +76,12 @@
 		for _, p := range s.peers {
 			p.Leave()
 		}
+	case drawn.Burst:
+		s.burst(f.Size)
+	case drawn.RudeRouter:
+		rude := rig.NewRudeRouter(s.net.Address(), s.drawn.Settings.Methods[0].Name, s.catalog, s.drawn.Seed)
+		time.Sleep(last)
+		rude.Close()
 	case drawn.Silent:
 		idle := rig.NewIdleClients(s.program.Address, min(int(s.told.Limits.Sockets)*f.Size/100, maxSilent), 50*time.Millisecond, s.drawn.Seed)
 		time.Sleep(last)
@@ -118,7 +129,7 @@
 }
 
 // terminate tells the process to leave, and starts it again under its name once it has.
-func (s *trialServer) terminate() {
+func (s *trialServer) terminate(size int) {
 	s.life.Lock()
 	defer s.life.Unlock()
 	if !s.program.Running() {
@@ -126,11 +137,31 @@
 	}
 	s.awaitHandlers()
 	s.kills.Add(1)
+	if again, ok := map[int]syscall.Signal{1: syscall.SIGHUP, 2: syscall.SIGTERM}[size]; ok {
+		time.AfterFunc(signalAgain, func() { s.program.Signal(again) })
+	}
 	s.leave()
 	s.program.Kernel.Restart()
 	s.again()
 }
 
+// signalAgain is between the notice and another signal: before the end of any drain.
+const signalAgain = 100 * time.Millisecond
+
+// faultyConfig is one of the files that no page allows.
+func (s *trialServer) faultyConfig(number int) string {
+	whole := s.config(s.program)
+	switch number {
+	case 0:
+		return whole[:len(whole)/2]
+	case 1:
+		return strings.Replace(whole, `"settings":{`, `"settings":"none","of_before":{`, 1)
+	case 2:
+		return strings.Replace(whole, `"name":"`+s.program.Name+`",`, "", 1) + "]"
+	}
+	return strings.Replace(whole, `"kernel":"`, `"kernel":"nowhere`, 1)
+}
+
 // awaitHandlers waits until a process that has just been started can take a signal: before, its runtime is not up.
 func (s *trialServer) awaitHandlers() {
 	s.mu.Lock()
@@ -220,6 +251,26 @@
 	s.badIgnored = append(s.badIgnored, ignored...)
 }
 
+// burst asks for many RPCs at once and waits for their outcomes.
+func (s *trialServer) burst(size int) {
+	chance := rand.New(rand.NewPCG(s.drawn.Seed, uint64(size)))
+	methods := s.methods()
+	ctx, stop := context.WithTimeout(context.Background(), burstLast)
+	defer stop()
+	var all sync.WaitGroup
+	for k := range size {
+		if s.probe.Ready().IsZero() || s.isPaused() {
+			break
+		}
+		call := s.newCall(s.peers[k%len(s.peers)], pick(chance, methods), chance, fmt.Sprintf("%s-burst-%d", s.program.Name, k))
+		all.Go(func() { call.play(ctx) })
+	}
+	all.Wait()
+}
+
+// burstLast bounds the wait for the outcomes of a burst.
+const burstLast = 2 * time.Second
+
 // fillLog has nobody read the process's log for a while, or as long as it lives.
 func (s *trialServer) fillLog(last time.Duration) {
 	if !s.program.Running() {
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -38,7 +38,7 @@
 }
 
 // aboutTime is in violations that a machine may cause which is late itself.
-var aboutTime = regexp.MustCompile(`after its (deadline|stop)|answers nobody|never answered|did not end by itself|at rest|closed the connection over it`)
+var aboutTime = regexp.MustCompile(`after its (deadline|stop)|answers nobody|never answered|closed the connection over it`)
 
 // mostWaited is how long a process may wait for a core, within a second, before violations about time show nothing.
 const mostWaited = 200 * time.Millisecond
--- a/rig/peer.go
+++ b/rig/peer.go
@@ -51,6 +51,7 @@
 	Again       bool
 	Work        float64 // seconds on a core
 	Result      []byte  // of a run; nil for Answer(RPC)
+	Fails       bool    // a run ends with a fault
 }
 
 // PeerOutcome is how a try ended: with a result, or with ErrPushedBack, ErrAborted, ErrLost.
@@ -118,7 +119,7 @@
 	if !c.book(c.seq, &peerOpen{time.Now(), done}) {
 		return nil, ErrNotConnected
 	}
-	c.catalog.Add(call, Entry{RPC: t.RPC, Work: t.Work, Result: t.Result})
+	c.catalog.Add(call, Entry{RPC: t.RPC, Work: t.Work, Result: t.Result, Fails: t.Fails})
 	c.put(ExecuteFrame(c.seq, fields, t.Body))
 	return &PeerCall{Done: done, conn: c, seq: c.seq}, nil
 }
--- a/rig/program.go
+++ b/rig/program.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -158,7 +159,7 @@
 	if err := p.WriteConfig(); err != nil {
 		return err
 	}
-	cmd := exec.Command(p.bin, slices.Concat(p.site.Args, p.args)...)
+	cmd := p.command()
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+p.configPath(), "GW_NAME="+cmp.Or(p.called, p.Name), "GW_LISTEN="+p.Address)
 	if p.site.OneCore {
 		cmd.Env = append(cmd.Env, "GOMAXPROCS=1")
@@ -169,6 +170,19 @@
 	return err
 }
 
+// command starts the program as the platform does. Where the configuration is a text, the system holds it to its descriptors, too.
+func (p *Program) command() *exec.Cmd {
+	args := slices.Concat(p.site.Args, p.args)
+	if p.text == nil || p.site.Sockets > systemDescriptors {
+		return exec.Command(p.bin, args...)
+	}
+	limited := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(p.site.Sockets), p.bin}
+	return exec.Command("/bin/sh", slices.Concat(limited, args)...)
+}
+
+// systemDescriptors is up to which a limit of descriptors is set in the system.
+const systemDescriptors = 1024
+
 // WriteConfig puts the configuration where the program reads it, at its start and when it reloads.
 func (p *Program) WriteConfig() error {
 	if p.text != nil {
