--- a/cmd/rehearse/faults.go
+++ b/cmd/rehearse/faults.go
@@ -87,6 +87,9 @@
 	}
 	r.show(p)
 	p.exactly("violations", float64(len(r.violations)), 0)
+	if len(r.violations) > 0 && p.faults.replays > 0 {
+		p.reduceTrial(r)
+	}
 	return nil
 }
 
--- a/cmd/rehearse/faults_trial.go
+++ b/cmd/rehearse/faults_trial.go
@@ -57,7 +57,7 @@
 }
 
 // particulars are what differs between two violations of one kind.
-var particulars = regexp.MustCompile(`"[^"]*"|n\d+[-\w]*|[-+]?\d[\d.:]*(?:e[-+]?\d+)?(?:ns|µs|ms|m|s)?\w*`)
+var particulars = regexp.MustCompile(`"(?:[^"\\]|\\.)*"|\b[0-9a-f]{16}\b|n\d+[-\w]*|[-+]?\d[\d.:]*(?:e[-+]?\d+)?(?:ns|µs|ms|m|s)?\w*`)
 
 func classOf(violation string) string {
 	first, _, _ := strings.Cut(violation, "\n")
