rig: the network reads what an app server says as it comes, and writes it to the caller behind that

Cause: answers were read and written by one goroutine, so that pieces with gaps between, on a machine at load 30, had the network itself lag by up to 2.9 s: hundreds of answers counted as late that were not. Now reading does not wait for writing; sixteen chunks later it does, so that an app server feels a caller that does not read.

--- a/rig/net.go
+++ b/rig/net.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math/rand/v2"
@@ -200,7 +201,7 @@
 			owed = append(owed, seq)
 		}
 	}
-	err := f.carry(f.caller, server, lookout{message: look}, func(b []byte) error {
+	err := f.carry(f.caller, lookout{message: look}, func(b []byte) error {
 		err := f.writePieces(server, b)
 		for _, seq := range owed {
 			if err != nil {
@@ -219,7 +220,8 @@
 	f.discard()
 }
 
-// passReplies carries what the app server says.
+// passReplies carries what the app server says. It is read as it comes, so that nobody takes the network for a late app
+// server, and written behind that.
 func (f *flow) passReplies(server net.Conn) {
 	look := lookout{
 		message: f.watchReply,
@@ -227,12 +229,17 @@
 			f.check.report(1, "%s says what no router can read: %v", f.Net.server, err)
 		},
 	}
-	err := f.carry(server, f.caller, look, f.writeTrickle)
-	if err == errWrite {
-		f.ours.Store(true) // the caller is gone
-	}
+	queue := make(chan []byte, mostQueued)
+	var writer sync.WaitGroup
+	writer.Go(func() { f.writeReplies(queue, server) })
+	f.carry(server, look, func(b []byte) error {
+		queue <- bytes.Clone(b)
+		return nil
+	})
 	f.ended.Store(true)
 	f.check.Ended(f, f.ours.Load())
+	close(queue)
+	writer.Wait()
 	if half, ok := f.caller.(*net.TCPConn); ok {
 		half.CloseWrite()
 	}
@@ -240,6 +247,22 @@
 	server.Close()
 }
 
+// mostQueued bounds what is read of an app server and not written yet, in chunks: an app server is to feel a caller that does
+// not read.
+const mostQueued = 16
+
+// writeReplies writes what comes in the queue until it is closed. Once the caller is gone, the connection is ended.
+func (f *flow) writeReplies(queue <-chan []byte, server net.Conn) {
+	gone := false
+	for b := range queue {
+		if !gone && f.writeTrickle(b) != nil {
+			gone = true
+			f.ours.Store(true)
+			server.Close()
+		}
+	}
+}
+
 // discardTime is how long a caller is read on after its app server has ended the connection.
 const discardTime = 200 * time.Millisecond
 
@@ -263,7 +286,7 @@
 )
 
 // carry moves bytes as they come until one side ends, and tells of each message before its last byte goes on.
-func (f *flow) carry(from, to net.Conn, look lookout, write func([]byte) error) error {
+func (f *flow) carry(from net.Conn, look lookout, write func([]byte) error) error {
 	chunk := make([]byte, 16<<10)
 	var seen []byte // of a message that is not whole yet
 	garbled := false
