--- a/rig/judge_test.go
+++ b/rig/judge_test.go
@@ -1,10 +1,8 @@
 package rig
 
 import (
-	"errors"
 	"fmt"
 	"net"
-	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -346,80 +344,3 @@
 		t.Errorf("%d turned away", n)
 	}
 }
-
-// Reports to the roster are three words of a process that lives.
-func TestRosterJudge(t *testing.T) {
-	for report, what := range map[string]string{
-		"HERE n1 on":      "",
-		"HERE n1 off":     "",
-		"HERE n2 on":      "which nobody has",
-		"HERE n3 on":      "has ended",
-		"HERE n1":         "words",
-		"HERE n1 on ":     "words",
-		"HERE n1 maybe":   "ends with",
-		"THERE n1 on":     "begins with",
-		"HERE n1 on\nn2 ": "words",
-	} {
-		s := newTestTrial(t, KernelConfig{})
-		r, err := NewRoster()
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.Judge(s.check, "n1", "n3")
-		conn, err := net.Dial("udp", r.Address())
-		if err != nil {
-			t.Fatal(err)
-		}
-		fmt.Fprint(conn, report)
-		fmt.Fprint(conn, "HERE last") // after it nothing is on its way
-		waitFor(t, "the reports", func() bool {
-			all := s.check.Violations()
-			return len(all) > 0 && strings.Contains(all[len(all)-1].What, "HERE last")
-		})
-		all := s.check.Violations()
-		if len(all) > 2 || (len(all) == 2) != (what != "") || !strings.Contains(all[0].What, what) {
-			t.Errorf("%q: %v", report, all)
-		}
-		conn.Close()
-		r.Close()
-	}
-}
-
-// A process that spins, one that ignores its stop and one that says nothing are found; those that do not are not.
-func TestProcessHealth(t *testing.T) {
-	start := func(script string) *Process {
-		p, err := Launch(exec.Command("/bin/sh", "-c", script), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		t.Cleanup(p.kill)
-		return p
-	}
-	quiet, spins := start("exec sleep 60"), start("while :; do :; done")
-	if err := quiet.Resting(time.Second, 0.2); err != nil {
-		t.Error(err)
-	}
-	if err := spins.Resting(time.Second, 0.2); !errors.Is(err, ErrSpins) {
-		t.Errorf("%v of a process that spins", err)
-	}
-	ready := make(chan struct{}, 1)
-	deaf, err := Launch(exec.Command("/bin/sh", "-c", "trap '' TERM; echo ready >&2; while :; do sleep 1; done"), func([]byte) { ready <- struct{}{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	<-ready
-	if err := deaf.StopWithin(100 * time.Millisecond); !errors.Is(err, ErrStopIgnored) || deaf.Running() {
-		t.Errorf("%v of a process that ignores its stop", err)
-	}
-	if err := quiet.StopWithin(10 * time.Second); err == nil {
-		t.Error("a process that SIGTERM has killed has ended as it should")
-	}
-	obeys, err := Launch(exec.Command("/bin/sh", "-c", "trap 'exit 0' TERM; echo ready >&2; while :; do sleep 0.01; done"), func([]byte) { ready <- struct{}{} })
-	if err != nil {
-		t.Fatal(err)
-	}
-	<-ready
-	if err := obeys.StopWithin(10 * time.Second); err != nil {
-		t.Error(err)
-	}
-}
--- /dev/null
+++ b/rig/process_health_test.go
@@ -0,0 +1,47 @@
+package rig
+
+import (
+	"errors"
+	"os/exec"
+	"testing"
+	"time"
+)
+
+// A process that spins, one that ignores its stop and one that says nothing are found; those that do not are not.
+func TestProcessHealth(t *testing.T) {
+	start := func(script string) *Process {
+		p, err := Launch(exec.Command("/bin/sh", "-c", script), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(p.kill)
+		return p
+	}
+	quiet, spins := start("exec sleep 60"), start("while :; do :; done")
+	if err := quiet.Resting(time.Second, 0.2); err != nil {
+		t.Error(err)
+	}
+	if err := spins.Resting(time.Second, 0.2); !errors.Is(err, ErrSpins) {
+		t.Errorf("%v of a process that spins", err)
+	}
+	ready := make(chan struct{}, 1)
+	deaf, err := Launch(exec.Command("/bin/sh", "-c", "trap '' TERM; echo ready >&2; while :; do sleep 1; done"), func([]byte) { ready <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-ready
+	if err := deaf.StopWithin(100 * time.Millisecond); !errors.Is(err, ErrStopIgnored) || deaf.Running() {
+		t.Errorf("%v of a process that ignores its stop", err)
+	}
+	if err := quiet.StopWithin(10 * time.Second); err == nil {
+		t.Error("a process that SIGTERM has killed has ended as it should")
+	}
+	obeys, err := Launch(exec.Command("/bin/sh", "-c", "trap 'exit 0' TERM; echo ready >&2; while :; do sleep 0.01; done"), func([]byte) { ready <- struct{}{} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-ready
+	if err := obeys.StopWithin(10 * time.Second); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/rig/roster_test.go
@@ -0,0 +1,46 @@
+package rig
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+)
+
+// Reports to the roster are three words of a process that lives.
+func TestRosterJudge(t *testing.T) {
+	for report, what := range map[string]string{
+		"HERE n1 on":      "",
+		"HERE n1 off":     "",
+		"HERE n2 on":      "which nobody has",
+		"HERE n3 on":      "has ended",
+		"HERE n1":         "words",
+		"HERE n1 on ":     "words",
+		"HERE n1 maybe":   "ends with",
+		"THERE n1 on":     "begins with",
+		"HERE n1 on\nn2 ": "words",
+	} {
+		s := newTestTrial(t, KernelConfig{})
+		r, err := NewRoster()
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Judge(s.check, "n1", "n3")
+		conn, err := net.Dial("udp", r.Address())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, report)
+		fmt.Fprint(conn, "HERE last") // after it nothing is on its way
+		waitFor(t, "the reports", func() bool {
+			all := s.check.Violations()
+			return len(all) > 0 && strings.Contains(all[len(all)-1].What, "HERE last")
+		})
+		all := s.check.Violations()
+		if len(all) > 2 || (len(all) == 2) != (what != "") || !strings.Contains(all[0].What, what) {
+			t.Errorf("%q: %v", report, all)
+		}
+		conn.Close()
+		r.Close()
+	}
+}
