--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -51,7 +51,7 @@
 
 // NewConfiguredKernel listens on a free port, for a deployment's settings.
 func NewConfiguredKernel(server string, config KernelConfig, check *Checker) (*Kernel, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenApart()
 	if err != nil {
 		return nil, err
 	}
--- a/rig/kernel_move.go
+++ b/rig/kernel_move.go
@@ -1,9 +1,6 @@
 package rig
 
-import (
-	"net"
-	"time"
-)
+import "time"
 
 // movedLinks is how long links to the old address stay after a move: the protocol's figure.
 const movedLinks = 1500 * time.Millisecond
@@ -11,7 +8,7 @@
 // Move takes the kernel to a new address: the old one accepts nothing new, and the link to it is closed after a while. Runs and
 // notices carry on.
 func (k *Kernel) Move() error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := listenApart()
 	if err != nil {
 		return err
 	}
--- a/rig/program.go
+++ b/rig/program.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	address, err := freePort()
+	address, err := ownAddress()
 	if err != nil {
 		kernel.Close()
 		return nil, err
