Run RPCs without ttl by their method's deadline, and take waits of any length

Cause: thrift.execute called an RPC without ttl unreadable, although routers tell none where passesDeadline is false; conn.Execute did so for any ttl over an hour and any recv an hour off. Ruled out: the module, which takes due 0 for 'not told' and then goes by the method's deadline.

Change: without ttl Execute is told +Inf, and the gate due 0. What one RPC's recv adds to the pressure's reading of unread RPCs is bounded, as a far recv from one client alone could otherwise swell or hide it.

--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -39,7 +39,8 @@
 
 // Router is told what a frame holds. Slices are good for the length of the call.
 type Router interface {
-	// Execute is one RPC; recv is in Unix seconds, ttl in seconds. again marks a further try.
+	// Execute is one RPC; recv is in Unix seconds, ttl in seconds, +Inf where the router does not tell how long it waits.
+	// again marks a further try.
 	Execute(seq int32, op, call []byte, src int, recv, ttl, heap float64, again bool, dedupe, body []byte)
 	// Unreadable is an RPC of which something needed is missing or makes no sense.
 	Unreadable(seq int32, why string)
@@ -184,6 +185,9 @@
 	from, okSrc := number(src)
 	came, okRecv := number(recv)
 	left, okTTL := number(ttl)
+	if ttl == nil { // the settings say whether routers tell
+		left, okTTL = math.Inf(1), true
+	}
 	size, okHeap := number(heap)
 	rank, okCrit := number(crit) // nothing here goes by it, but a figure out of range is no usual router's
 	switch {
--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -151,6 +151,55 @@
 	// served: <nil>
 }
 
+// Deadlines, and waits that routers tell, may be hours. A wait past the deadline counts as the deadline. A recv that is hours
+// off, as after a clock has been set, is read as it stands: what is old is refused, past the deadline or as it lay unread for
+// long, and what seems to come from the future has just come.
+func Example_farOff() {
+	const hour = 3600
+	t := open(func(c *config.Config) {
+		for k := range c.Rules.Methods {
+			m := &c.Rules.Methods[k]
+			m.Target, m.Deadline, m.Window = 2*hour, 5*hour, 6*hour
+		}
+	})
+	r := t.dial()
+	ago := func(hours float64) string { return fmt.Sprint(time.Now().Add(-seconds(hours * hour)).UnixMilli()) }
+	for seq, pairs := range [][]string{
+		{"ttl", "18000000"}, {"ttl", "99999999999"}, {"recv", ago(-3)},
+		{"ttl", "99999999999", "recv", ago(-24 * 365)}, {"ttl", "18000000.0", "recv", fmt.Sprintf("%.3e", float64(time.Now().UnixMilli()+1e9))},
+	} {
+		seq++
+		r.execute(seq, pairs...)
+		t.asked()
+		t.reap(seq, "fine", "done")
+		r.hear(1)
+	}
+	for seq, pairs := range [][]string{{"recv", ago(4)}, {"ttl", "18000000", "recv", ago(5.5)}, {"recv", "0"}, {"recv", "17"},
+		{"ttl", "99999999999", "recv", "17"}, {"ttl", "-99999999999"}} {
+		r.execute(seq+10, pairs...)
+		r.hear(1)
+	}
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "done" good 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "done" good 1
+	// kernel: SCHED 3 look body 3
+	// router: 3 ok "done" good 1
+	// kernel: SCHED 4 look body 4
+	// router: 4 ok "done" good 1
+	// kernel: SCHED 5 look body 5
+	// router: 5 ok "done" good 1
+	// router: 10 pushed back
+	// router: 11 pushed back
+	// router: 12 pushed back
+	// router: 13 pushed back
+	// router: 14 pushed back
+	// router: 15 pushed back
+	// served: <nil>
+}
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"math"
+
 	"go.uber.org/zap"
 
 	"valveglade/internal/thrift"
@@ -21,19 +23,13 @@
 	case tokened && len(dedupe) == 0:
 		c.unreadable(seq, "dedupe")
 		return
-	case recv < now-offClock || recv > now+offClock:
-		c.unreadable(seq, "recv")
-		return
-	case ttl > offClock:
-		c.unreadable(seq, "ttl")
-		return
 	}
 	if c.config.Load().Rules.MayCall(method) {
 		c.refuseUnserved(seq)
 		return
 	}
 	if c.press.on.Load() {
-		c.press.came(method, now-recv)
+		c.press.came(method, min(max(now-recv, 0), mostLag))
 		if c.turnsAway(seq, method, dedupe, recv, len(body)) {
 			return
 		}
@@ -52,7 +48,7 @@
 	c.open[seq] = k
 	c.mu.Unlock()
 	var ok bool
-	if k.id, ok = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, again, k.uid, token, body,
+	if k.id, ok = c.gate.Arrive(now, method, src, recv, c.givenUpAt(method, now, recv, ttl), heap, again, k.uid, token, body,
 		k); !ok {
 		c.mu.Lock()
 		delete(c.open, seq)
@@ -92,8 +88,22 @@
 	}
 }
 
-// offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
-const offClock = 3600.0
+// mostLag is the longest time in seconds that one RPC counts as having lain unread: recv is its client's word, and one
+// client's alone is not to put the process under pressure.
+const mostLag = 5.0
+
+// givenUpAt is when an RPC's client gives up, 0 where its router does not tell: then the module goes by the method's deadline. No
+// client waits longer than that, whatever the router says.
+func (c *conn) givenUpAt(method int, now, recv, ttl float64) float64 {
+	if math.IsInf(ttl, 1) {
+		return 0
+	}
+	if deadline := c.config.Load().Rules.Methods[method].Deadline; deadline > 0 {
+		ttl = min(ttl, deadline)
+	}
+	const someTime = 1 // a router that tells of a time long ago has told all the same
+	return max(min(recv, now)+ttl, someTime)
+}
 
 // usedTwice is a number that two RPCs of one connection came under.
 type usedTwice struct{ seq int32 }
