Tests that fail: spans past a Duration, runs stopped where the site does not say so

Example_longSpans: seconds() turns what a Duration cannot hold into the past, so timers of long spans fire at once; warmAt likewise. Example_noPreemption: with preemption left out a run whose caller has left is asked to be stopped, which the site may not allow.

--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"time"
 
@@ -11,6 +12,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"valveglade/config"
+	"valveglade/internal/jsonobject"
 	"valveglade/internal/thrift"
 )
 
@@ -200,6 +202,66 @@
 	// served: <nil>
 }
 
+// Spans of any length neither overflow nor come to nothing: an idle connection of a deployment that keeps them for ever stays,
+// advice stays positive, and health checks are answered.
+func Example_longSpans() {
+	for _, span := range []float64{-jsonobject.Largest, -1e308, 1e308, math.Inf(1), jsonobject.Largest} {
+		fmt.Println(span, seconds(span) > 0)
+	}
+	t := openPrepared(func(c *config.Config) {
+		c.Rules.Machine.KeepAlive, c.Rules.Rules.WarmIn = jsonobject.Largest, jsonobject.Largest
+		c.Rules.Machine.Below, c.Rules.Machine.Calls = "tier", []bool{false, true}
+		c.Rules.Ceilings.RetryAfter, c.Rules.Ceilings.MaxRetryAfter = true, jsonobject.Largest
+	}, zap.NewNop(), func(s *Server) { s.idle = time.Millisecond })
+	t.cold = true
+	t.linkUp()
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	t.reap(1, "fine", "one")
+	r.hearAll(1)
+	r.execute(2, "op", "record", "dedupe", "t")
+	r.hearAll(1)
+	fmt.Println("warm in the future:", t.warmAt.Load() > time.Now().UnixNano())
+	r.execute(3)
+	t.asked()
+	t.reap(3, "fine", "three")
+	r.hearAll(1)
+	t.close()
+	// Output:
+	// -1e+15 false
+	// -1e+308 false
+	// 1e+308 true
+	// +Inf true
+	// 1e+15 true
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one"
+	// router: 2 pushed back, last true, after 1e+15s
+	// warm in the future: true
+	// kernel: SCHED 3 look body 3
+	// router: 3 ok "three"
+	// served: <nil>
+}
+
+// A site that does not say whether runs may be stopped may not allow it: none is.
+func Example_noPreemption() {
+	t := open(func(c *config.Config) { c.Rules.Machine.Preemption = "" })
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	r.interrupt(1)
+	r.execute(2)
+	t.asked() // commands come in the order of what they are for
+	t.reap(2, "fine", "two")
+	r.hear(1)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "two" good 1
+	// served: <nil>
+}
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -92,14 +92,21 @@
 // client's alone is not to put the process under pressure.
 const mostLag = 5.0
 
+// unknownWait is how long in seconds a client counts as waiting where neither its router nor the settings tell.
+const unknownWait = 3600.0
+
 // givenUpAt is when an RPC's client gives up, 0 where its router does not tell: then the module goes by the method's deadline. No
 // client waits longer than that, whatever the router says.
 func (c *conn) givenUpAt(method int, now, recv, ttl float64) float64 {
-	if math.IsInf(ttl, 1) {
+	deadline := c.config.Load().Rules.Methods[method].Deadline
+	told := !math.IsInf(ttl, 1)
+	switch {
+	case deadline > 0 && !told:
 		return 0
-	}
-	if deadline := c.config.Load().Rules.Methods[method].Deadline; deadline > 0 {
+	case deadline > 0:
 		ttl = min(ttl, deadline)
+	case !told:
+		ttl = unknownWait
 	}
 	const someTime = 1 // a router that tells of a time long ago has told all the same
 	return max(min(recv, now)+ttl, someTime)
