--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -71,13 +71,13 @@
 	run(batch("")[:20])
 	// Output:
 	// 15 settings: unexpected end of JSON input
-	// 15 settings: domain.nCores: a JSON string does not fit
+	// 15 settings: domain.nCores: a JSON string where a number is wanted
 	// 15 settings: domain.signal: "shouts" is not known
 	// 15 settings: domain.preemption: "maybe" is not known
 	// 15 settings: domain.below: "sea" is not known
 	// 15 settings: domain.freshS: -1 is negative
 	// 15 settings: profiles[0].idempotency: "perhaps" is not known
-	// 15 settings: profiles[0]: onTimeS, deadlineS or windowS is negative
+	// 15 settings: profiles[0].windowS: -1 is negative
 	// reply: 15
 	// reply: 10 13
 	// reply: 3
--- a/config/config.go
+++ b/config/config.go
@@ -2,13 +2,12 @@
 package config
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/netip"
 	"os"
-	"reflect"
 
+	"valveglade/internal/jsonobject"
 	"valveglade/rpc"
 )
 
@@ -26,6 +25,21 @@
 	Rules   rpc.Settings
 }
 
+// What holds where the file does not say: the kill after three seconds, and the limits of the platform's page.
+const (
+	defaultStopMS   = 3000
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+)
+
+// Bounds of the limits. The process takes 13 MB with nothing to do; it keeps 20 descriptors for itself, and four more may be on
+// their way out while others come. No machine has more memory than the most.
+const (
+	leastMemoryMB = 16
+	leastSockets  = 32
+	mostMemoryMB  = 1 << 40
+)
+
 // KeyError names a key of the config whose value is wrong.
 type KeyError struct {
 	Key, Reason string
@@ -50,77 +64,51 @@
 
 // Parse reads and checks a configuration; name and listen are used where it has none.
 func Parse(text []byte, name, listen string) (*Config, error) {
-	var top map[string]json.RawMessage
-	if err := json.Unmarshal(text, &top); err != nil {
-		return nil, keyError("GW_CONFIG", "not a JSON object: %v", err)
-	}
-	// What a field's absence means stands here, before it is read.
-	kernel, roster, stop := "", "", 3000.0
-	var limits, settings map[string]json.RawMessage
-	memory, sockets, cores := 192.0, 1024.0, 0.0
-	var named struct {
-		Profiles []struct {
-			Name string `json:"name"`
-		} `json:"profiles"`
-	}
-	c := &Config{}
-	for _, field := range []struct {
-		in   *map[string]json.RawMessage
-		key  string
-		into any
-	}{
-		{&top, "name", &name}, {&top, "listen", &listen}, {&top, "kernel", &kernel}, {&top, "roster", &roster},
-		{&top, "stop_ms", &stop}, {&top, "limits", &limits}, {&top, "settings", &settings},
-		{&limits, "memory_mb", &memory}, {&limits, "sockets", &sockets}, {&limits, "cores", &cores},
-		{&top, "settings", &c.Rules}, {&top, "settings", &named},
-	} {
-		raw, ok := (*field.in)[field.key]
-		if !ok {
-			continue
-		}
-		key := field.key
-		if field.in == &limits {
-			key = "limits." + key
-		}
-		if err := json.Unmarshal(raw, field.into); err != nil {
-			if bad, ok := err.(*json.UnmarshalTypeError); ok {
-				if bad.Field != "" {
-					key += "." + bad.Field
-				}
-				return nil, keyError(key, "a JSON %s where %s is wanted", bad.Value, wanted(bad.Type.Kind()))
-			}
-			return nil, keyError(key, "%v", err)
-		}
+	top, err := jsonobject.Parse(text)
+	if err != nil {
+		return nil, keyError("GW_CONFIG", "%v", err)
 	}
-	c.Name, c.Stop, c.Memory, c.Sockets, c.Cores = name, stop/1000, int(memory*(1<<20)), int(sockets), cores
-	for _, p := range named.Profiles {
-		c.Methods = append(c.Methods, p.Name)
+	c := &Config{Name: name}
+	top.Text("name", &c.Name)
+	c.readLimits(top)
+	settings := top.Object("settings")
+	c.Rules = rpc.ReadServed(settings)
+	for _, profile := range settings.Objects("profiles") {
+		method := ""
+		profile.Text("name", &method)
+		c.Methods = append(c.Methods, method)
 	}
-	for _, a := range []struct {
-		key, text string
-		into      *netip.AddrPort
-	}{{"listen", listen, &c.Listen}, {"kernel", kernel, &c.Kernel}, {"roster", roster, &c.Roster}} {
-		at, err := netip.ParseAddrPort(a.text)
-		if err != nil {
-			return nil, keyError(a.key, "%q is no address and port", a.text)
-		}
-		*a.into = at
+	top.Text("listen", &listen)
+	c.Listen = readAddrPort(top, "listen", listen)
+	c.Kernel = readAddrPort(top, "kernel", "")
+	c.Roster = readAddrPort(top, "roster", "")
+	if invalid := (*jsonobject.Error)(nil); errors.As(top.Err(), &invalid) {
+		return nil, keyError(invalid.Path, "%s", invalid.Reason)
 	}
 	return c, c.check()
 }
 
-func wanted(kind reflect.Kind) string {
-	switch kind {
-	case reflect.String:
-		return "a string"
-	case reflect.Bool:
-		return "true or false"
-	case reflect.Map, reflect.Struct:
-		return "an object"
-	case reflect.Slice:
-		return "an array"
+// readLimits reads what the process may take, and how long it has to leave.
+func (c *Config) readLimits(top *jsonobject.Object) {
+	stop, memory := float64(defaultStopMS), float64(defaultMemoryMB)
+	c.Sockets = defaultSockets
+	top.Number("stop_ms", &stop)
+	limits := top.Object("limits")
+	limits.Number("memory_mb", &memory)
+	limits.Whole("sockets", &c.Sockets)
+	limits.Number("cores", &c.Cores)
+	c.Stop, c.Memory = stop/1000, int(min(memory, mostMemoryMB)*(1<<20))
+}
+
+// readAddrPort reads an address and port; otherwise stands in where there is none.
+func readAddrPort(top *jsonobject.Object, key, otherwise string) netip.AddrPort {
+	text := otherwise
+	top.Text(key, &text)
+	at, err := netip.ParseAddrPort(text)
+	if err != nil {
+		top.Fail(key, "%q is no address and port", text)
 	}
-	return "a number"
+	return at
 }
 
 // check refuses what the server could not keep its rules under.
@@ -128,33 +116,27 @@
 	switch {
 	case c.Name == "":
 		return keyError("name", "missing")
-	case c.Stop < 0.1 || c.Stop > 3600:
-		return keyError("stop_ms", "%g is not between 100 and 3600000", c.Stop*1000)
-	case c.Memory < 16<<20:
-		return keyError("limits.memory_mb", "%g is less than the 16 that the process needs", float64(c.Memory)/(1<<20))
-	case c.Sockets < 32:
-		return keyError("limits.sockets", "%d is less than the 32 that the process needs", c.Sockets)
+	case c.Stop < 0:
+		return keyError("stop_ms", "%g is negative", c.Stop*1000)
+	case c.Memory < leastMemoryMB<<20:
+		return keyError("limits.memory_mb", "%g is less than the %d that the process needs", float64(c.Memory)/(1<<20), leastMemoryMB)
+	case c.Sockets < leastSockets:
+		return keyError("limits.sockets", "%d is less than the %d that the process needs", c.Sockets, leastSockets)
 	case c.Cores < 0:
 		return keyError("limits.cores", "%g is negative", c.Cores)
 	case len(c.Methods) == 0:
 		return keyError("settings.profiles", "no method is named")
 	}
 	seen := map[string]bool{}
-	for k, m := range c.Rules.Methods {
-		key := fmt.Sprintf("settings.profiles[%d].", k)
+	for k, name := range c.Methods {
+		key := fmt.Sprintf("settings.profiles[%d].name", k)
 		switch {
-		case c.Methods[k] == "" || seen[c.Methods[k]]:
-			return keyError(key+"name", "%q is empty or named twice", c.Methods[k])
-		case m.Kind != rpc.Idempotent && m.Kind != rpc.Tokened && m.Kind != rpc.NonIdempotent:
-			return keyError(key+"idempotency", "%q is not known", string(m.Kind))
-		case m.Target < 0:
-			return keyError(key+"onTimeS", "%g is negative", m.Target)
-		case m.Deadline < 0:
-			return keyError(key+"deadlineS", "%g is negative", m.Deadline)
-		case m.Kind == rpc.Tokened && m.Window <= 0:
-			return keyError(key+"windowS", "%g is not above 0", m.Window)
+		case name == "":
+			return keyError(key, "missing")
+		case seen[name]:
+			return keyError(key, "%q is named twice", name)
 		}
-		seen[c.Methods[k]] = true
+		seen[name] = true
 	}
 	if invalid := (*rpc.SettingError)(nil); errors.As(c.Rules.Check(), &invalid) {
 		return keyError("settings."+invalid.Path, "%s", invalid.Reason)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -61,7 +61,7 @@
 	}
 	// Output:
 	// GW_CONFIG: not a JSON object: unexpected end of JSON input
-	// GW_CONFIG: not a JSON object: json: cannot unmarshal array into Go value of type map[string]json.RawMessage
+	// GW_CONFIG: not a JSON object: it is of type array
 	// name: a JSON number where a string is wanted
 	// name: missing
 	// listen: "somewhere" is no address and port
@@ -77,7 +77,7 @@
 	// settings.domain.nCores: a JSON string where a number is wanted
 	// settings.profiles[0].idempotency: "often" is not known
 	// settings.profiles[1].windowS: -1 is negative
-	// settings.profiles[1].name: "look" is empty or named twice
+	// settings.profiles[1].name: "look" is named twice
 	// settings.profiles[0].onTimeS: -1 is negative
 	// settings.profiles[1].deadlineS: -12 is negative
 	// settings.profiles: no method is named
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,6 +4,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"hash/maphash"
 	"math"
@@ -168,6 +169,7 @@
 
 // New starts a gate; keep bounds the bytes of kept results.
 func New[T any](now float64, c rpc.Settings, keep int) *Gate[T] {
+	c.Machine.Preemption = cmp.Or(c.Machine.Preemption, rpc.Unstoppable) // what is not told is not allowed
 	g := &Gate[T]{settings: c, now: now, callers: map[int]int{}, uids: map[string]struct{}{}, seed: maphash.MakeSeed(), tokens: newTable(keep), credit: -1,
 		reap: c.Machine.KeepAlive, ready: make(chan struct{}, 1), changed: make(chan struct{}, 1)}
 	g.module = logic.New(now, c, (*actions[T])(g))
--- /dev/null
+++ b/internal/jsonobject/jsonobject_test.go
@@ -0,0 +1,105 @@
+package jsonobject
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func parse(text string) *Object {
+	o, err := Parse([]byte(text))
+	if err != nil {
+		fmt.Println(err)
+	}
+	return o
+}
+
+// Values of every type, whole numbers in every form; what is absent or null leaves the default.
+func Example_values() {
+	o := parse(`{"text":"<&>","flag":true,"six":6.0,"seven":7e0,"huge":1e999,"null":null,"unasked":[{"x":1e999}],
+		"in":{"flags":[true,null],"numbers":[1,null,2.5],"texts":["a",null]},"list":[{"k":1},null]}`)
+	text, flag, number, whole := "default", false, 1.5, 3
+	o.Text("null", &text)
+	o.Text("absent", &text)
+	fmt.Println(text)
+	o.Text("text", &text)
+	o.Flag("flag", &flag)
+	o.Number("huge", &number)
+	fmt.Println(text, flag, number)
+	for _, key := range []string{"six", "seven", "huge", "null"} {
+		o.Whole(key, &whole)
+		fmt.Println(key, whole)
+	}
+	in := o.Object("in")
+	fmt.Println(in.Flags("flags"), in.Numbers("numbers"), in.Texts("texts"), in.Flags("absent"))
+	for _, element := range o.Objects("list") {
+		element.Whole("k", &whole)
+		fmt.Println(element.Path("k"), element.Has("k"), whole)
+	}
+	o.ObjectIfAny("text").Flag("k", &flag)
+	o.Object("null").Flag("k", &flag)
+	fmt.Println(flag, o.Err())
+	// Output:
+	// default
+	// <&> true 1e+15
+	// six 6
+	// seven 7
+	// huge 2147483647
+	// null 2147483647
+	// [true false] [1 0 2.5] [a ] []
+	// list[0].k true 1
+	// list[1].k false 1
+	// true <nil>
+}
+
+// What is asked for and has another type is named by its path, the first one alone.
+func Example_errors() {
+	for _, read := range []func(o *Object){
+		func(o *Object) { o.Text("in", new(string)) },
+		func(o *Object) { o.Object("in").Flag("array", new(bool)) },
+		func(o *Object) { o.Object("in").Numbers("array") },
+		func(o *Object) { o.Object("in").Objects("array")[1].Whole("k", new(int)) },
+		func(o *Object) { o.Object("half") },
+		func(o *Object) { o.Whole("half", new(int)) },
+		func(o *Object) { o.Object("in").Fail("x", "first"); o.Fail("y", "second") },
+	} {
+		o := parse(`{"in":{"array":[{},{"k":1.5}]},"half":0.5}`)
+		read(o)
+		fmt.Println(o.Err())
+	}
+	parse("")
+	parse("[]")
+	parse("{} {}")
+	parse(" null ")
+	// Output:
+	// in: a JSON object where a string is wanted
+	// in.array: a JSON array where true or false is wanted
+	// in.array[0]: a JSON object where a number is wanted
+	// in.array[1].k: 1.5 is not a whole number
+	// half: a JSON number where an object is wanted
+	// half: 0.5 is not a whole number
+	// in.x: first
+	// not a JSON object: unexpected end of JSON input
+	// not a JSON object: it is of type array
+	// not a JSON object: invalid character '{' after top-level value
+	// not a JSON object: it is of type null
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"k":[{"k":1e999},null,6.0,"x",true]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		o, err := Parse(text)
+		if err != nil {
+			return
+		}
+		number, whole := 0.0, 0
+		for _, in := range append(o.Objects("k"), o, o.ObjectIfAny("k")) {
+			in.Number("k", &number)
+			in.Whole("k", &whole)
+			in.Texts("k")
+		}
+		if math.IsNaN(number) || math.Abs(number) > Largest {
+			t.Error(number)
+		}
+	})
+}
--- a/rpc/check.go
+++ b/rpc/check.go
@@ -13,42 +13,64 @@
 	return &SettingError{path, fmt.Sprintf(why, args...)}
 }
 
+// figure is a number that has no meaning below 0.
+type figure struct {
+	path  string
+	value float64
+}
+
+func checkFigures(figures []figure) error {
+	for _, f := range figures {
+		if !(f.value >= 0) {
+			return settingError(f.path, "%g is negative", f.value)
+		}
+	}
+	return nil
+}
+
 // Check names the first setting that has no meaning here. What is left out, or at zero, has the mildest one.
 func (c *Settings) Check() error {
 	for k, m := range c.Methods {
+		path := fmt.Sprintf("profiles[%d].", k)
 		switch m.Kind {
 		case Idempotent, Tokened, NonIdempotent:
+		case "":
+			return settingError(path+"idempotency", "missing")
 		default:
-			return settingError(fmt.Sprintf("profiles[%d].idempotency", k), "%q is not known", string(m.Kind))
+			return settingError(path+"idempotency", "%q is not known", string(m.Kind))
 		}
-		if m.Target < 0 || m.Deadline < 0 || m.Window < 0 {
-			return settingError(fmt.Sprintf("profiles[%d]", k), "onTimeS, deadlineS or windowS is negative")
+		if err := checkFigures([]figure{{path + "onTimeS", m.Target}, {path + "deadlineS", m.Deadline},
+			{path + "windowS", m.Window}, {path + "worth", m.Criticality}, {path + "lateWorth", m.LateShare}}); err != nil {
+			return err
 		}
 	}
-	switch c.Machine.Preemption {
+	if err := c.Machine.checkWords(); err != nil {
+		return err
+	}
+	return checkFigures([]figure{{"domain.callers", float64(c.Machine.Callers)}, {"domain.nCores", float64(c.Machine.Cores)},
+		{"domain.memoryKb", c.Machine.MemoryKB}, {"domain.runFactor", c.Machine.RunFactor}, {"domain.entryKb", c.Machine.EntryKB},
+		{"domain.keepaliveMaxS", c.Machine.KeepAlive}, {"domain.freshS", c.Machine.Fresh}, {"domain.callsOut", c.Machine.CallsOut},
+		{"domain.shareSpanS", c.Machine.CallsSpan}, {"domain.lingerS", c.Machine.Linger}, {"rules.overloadFactor", c.Rules.Crowd},
+		{"rules.stopSendingWithinS", c.Rules.Grace}, {"rules.startCapacity", c.Rules.ColdAt}, {"rules.rampTimeS", c.Rules.WarmIn},
+		{"rules.fallS", c.Rules.CrowdSpan}, {"ceilings.maxRetryAfterS", c.Ceilings.MaxRetryAfter}, {"overShareWorth", c.OverShareWorth}})
+}
+
+// checkWords names the first setting whose word is not known.
+func (m *Machine) checkWords() error {
+	switch m.Preemption {
 	case "", Unstoppable, Discards, Freezes:
 	default:
-		return settingError("domain.preemption", "%q is not known", string(c.Machine.Preemption))
+		return settingError("domain.preemption", "%q is not known", string(m.Preemption))
 	}
-	switch c.Machine.Signal {
+	switch m.Signal {
 	case "", "none", Floor, Allowance, Weight:
 	default:
-		return settingError("domain.signal", "%q is not known", string(c.Machine.Signal))
+		return settingError("domain.signal", "%q is not known", string(m.Signal))
 	}
-	switch c.Machine.Below {
+	switch m.Below {
 	case "", "none", "one_for_all", "tier":
 	default:
-		return settingError("domain.below", "%q is not known", c.Machine.Below)
-	}
-	for _, g := range []struct {
-		key string
-		v   float64
-	}{{"domain.memoryKb", c.Machine.MemoryKB}, {"domain.freshS", c.Machine.Fresh}, {"domain.entryKb", c.Machine.EntryKB},
-		{"domain.callsOut", c.Machine.CallsOut}, {"domain.shareSpanS", c.Machine.CallsSpan}, {"domain.lingerS", c.Machine.Linger},
-		{"rules.stopSendingWithinS", c.Rules.Grace}, {"overShareWorth", c.OverShareWorth}} {
-		if g.v < 0 {
-			return settingError(g.key, "%g is negative", g.v)
-		}
+		return settingError("domain.below", "%q is not known", m.Below)
 	}
 	return nil
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -48,65 +48,65 @@
 
 // Method is one method of RPC.
 type Method struct {
-	Kind        Kind    `json:"idempotency"`
-	Target      float64 `json:"onTimeS"`
-	Deadline    float64 `json:"deadlineS"`
-	Window      float64 `json:"windowS"`
-	Criticality float64 `json:"worth"`
-	LateShare   float64 `json:"lateWorth"`
+	Kind        Kind
+	Target      float64
+	Deadline    float64
+	Window      float64
+	Criticality float64
+	LateShare   float64
 }
 
 // Settings is the deployment that an app server is started with.
 type Settings struct {
-	Methods        []Method `json:"profiles"`
-	Machine        Machine  `json:"domain"`
-	Rules          Rules    `json:"rules"`
-	Tenants        []Tenant `json:"accounts"`
-	OverShareWorth float64  `json:"overShareWorth"` // of an RPC past its tenant's share
-	Replicas       int      `json:"replicasOfMe"`
+	Methods        []Method
+	Machine        Machine
+	Rules          Rules
+	Tenants        []Tenant
+	OverShareWorth float64 // of an RPC past its tenant's share
+	Replicas       int
 	Clients        struct {
-		MarksRetry bool `json:"marksRetry"`
-	} `json:"clients"`
+		MarksRetry bool
+	}
 	Ceilings struct {
-		RetryAfter    bool    `json:"retryAfter"`
-		MaxRetryAfter float64 `json:"maxRetryAfterS"`
-	} `json:"ceilings"`
+		RetryAfter    bool
+		MaxRetryAfter float64
+	}
 }
 
 // Tenant is one of those that share the fleet.
 type Tenant struct {
-	Quota float64 `json:"quotaRps"` // RPCs a second over the whole fleet
+	Quota float64 // RPCs a second over the whole fleet
 }
 
 // Machine is the app server itself and what it calls.
 type Machine struct {
-	Below      string     `json:"below"`
-	Callers    int        `json:"callers"`
-	Calls      []bool     `json:"callsByClass"`
-	SkipWorth  []float64  `json:"classSkipWorth"`
-	CallsOut   float64    `json:"callsOut"`
-	CallsSpan  float64    `json:"shareSpanS"`
-	Linger     float64    `json:"lingerS"`
-	Cold       bool       `json:"justStarted"`
-	Cores      int        `json:"nCores"`
-	Gauges     []string   `json:"ownStats"`
-	KeepAlive  float64    `json:"keepaliveMaxS"`
-	EntryKB    float64    `json:"entryKb"`
-	Fresh      float64    `json:"freshS"`
-	MemoryKB   float64    `json:"memoryKb"`
-	RunFactor  float64    `json:"runFactor"`
-	Preemption Preemption `json:"preemption"`
-	Signal     Signal     `json:"signal"`
+	Below      string
+	Callers    int
+	Calls      []bool
+	SkipWorth  []float64
+	CallsOut   float64
+	CallsSpan  float64
+	Linger     float64
+	Cold       bool
+	Cores      int
+	Gauges     []string
+	KeepAlive  float64
+	EntryKB    float64
+	Fresh      float64
+	MemoryKB   float64
+	RunFactor  float64
+	Preemption Preemption
+	Signal     Signal
 }
 
 // Rules are the figures of the rules that each app server keeps.
 type Rules struct {
-	Crowd  float64 `json:"overloadFactor"`
-	Grace  float64 `json:"stopSendingWithinS"`
-	ColdAt float64 `json:"startCapacity"`
-	WarmIn float64 `json:"rampTimeS"`
+	Crowd  float64
+	Grace  float64
+	ColdAt float64
+	WarmIn float64
 	// CrowdSpan is the time in seconds over which a crowd counts.
-	CrowdSpan float64 `json:"fallS"`
+	CrowdSpan float64
 }
 
 // What an arrival may repeat, besides an RPC that is still in hand.
--- a/server/server.go
+++ b/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -99,7 +100,20 @@
 
 func clock() float64 { return float64(time.Now().UnixNano()) / 1e9 }
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds is a span in seconds as a Duration, the longest that there is where it is longer.
+func seconds(s float64) time.Duration { return time.Duration(nanoseconds(s)) }
+
+// nanoseconds is a time in seconds in nanoseconds, as far from 0 as an int64 can be where it is farther.
+func nanoseconds(s float64) int64 {
+	switch ns := s * float64(time.Second); {
+	case ns >= math.MaxInt64:
+		return math.MaxInt64
+	case ns <= math.MinInt64:
+		return math.MinInt64
+	default:
+		return int64(ns)
+	}
+}
 
 // Serve listens where the config says and runs until ctx ends, which is the notice to leave, and then until
 // all that was read is answered and the connections are closed, at the latest shortly before the config's
@@ -397,7 +411,7 @@
 	if cold {
 		warm += s.config.Load().Rules.Rules.WarmIn
 	}
-	s.warmAt.Store(int64(warm * 1e9))
+	s.warmAt.Store(nanoseconds(warm))
 	if s.gate.Boot(clock(), clock()-ago, cold) {
 		close(s.up)
 		signal(s.well)
