Log through a bounded sink that never waits: a full or closed log pipe costs lines only

Cause: zap.NewProduction writes to standard error in the goroutine that logs (cmd/valveglade/main.go serve), so a pipe that nobody reads stopped the watch loop, the drain and whoever logs under a lock; a pipe whose reader has ended raised SIGPIPE on descriptor 2, which ends a Go process; the last word of a failed start (main) waited in the same way. Change: internal/logsink: a bounded buffer and one goroutine that writes; lines that find no room are dropped, counted, and the count is logged once there is room. SIGPIPE is ignored. At the exit what is left has 100 ms.

--- a/cmd/valveglade/main.go
+++ b/cmd/valveglade/main.go
@@ -11,7 +11,6 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
-	"go.uber.org/zap"
 
 	"valveglade/config"
 	"valveglade/server"
@@ -22,16 +21,19 @@
 	signal.Notify(reload, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	if err := command(reload).ExecuteContext(ctx); err != nil {
-		fmt.Fprintln(os.Stderr, "valveglade:", err)
+	stderr := openStandardError()
+	defer stderr.flush()
+	if err := command(reload, stderr).ExecuteContext(ctx); err != nil {
+		stderr.fail(err)
+		stderr.flush()
 		os.Exit(1)
 	}
 }
 
 // command is the program's command line.
-func command(reload <-chan os.Signal) *cobra.Command {
+func command(reload <-chan os.Signal, stderr standardError) *cobra.Command {
 	var settingsPath string
-	serving := func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), reload, settingsPath) }
+	serving := func(cmd *cobra.Command, _ []string) error { return serve(cmd.Context(), reload, settingsPath, stderr) }
 	root := &cobra.Command{Use: "valveglade", Short: "an app server that decides admission for itself", Args: cobra.NoArgs,
 		RunE: serving, SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().StringVar(&settingsPath, "settings", "", "the operators' own file")
@@ -78,7 +80,7 @@
 	return fmt.Sprintf("valveglade %s, %s, %s", info.Main.Version, revision, info.GoVersion)
 }
 
-func serve(ctx context.Context, reload <-chan os.Signal, path string) error {
+func serve(ctx context.Context, reload <-chan os.Signal, path string, stderr standardError) error {
 	c, err := config.FromEnv()
 	if err != nil {
 		return err
@@ -87,11 +89,7 @@
 	if err != nil {
 		return err
 	}
-	log, err := zap.NewProduction(zap.Fields(zap.String("name", c.Name)))
-	if err != nil {
-		return err
-	}
-	s := server.NewUnder(c, b, log)
+	s := server.NewUnder(c, b, stderr.logger(c.Name))
 	go s.Reload(context.WithoutCancel(ctx), reload, func() (*config.Config, *config.Settings, error) {
 		c, err := config.FromEnv()
 		if err != nil {
