--- a/server/end.go
+++ b/server/end.go
@@ -227,7 +227,7 @@
 func (c *conn) giveUp(open map[int32]*call) {
 	for _, k := range open {
 		c.held.Add(-k.size())
-		c.gate.Gone(clock(), k.id)
+		c.gate.Gone(c.clock.now(), k.id)
 	}
 }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -172,7 +172,7 @@
 
 // fleetState is how far the app server has come: at full strength once its kernel is up and has warmed.
 func (s *Server) fleetState() view.State {
-	if at := s.warmAt.Load(); at == 0 || clock() < float64(at)/1e9 {
+	if at := s.warmAt.Load(); at == 0 || s.clock.now() < float64(at)/1e9 {
 		return view.Cold
 	}
 	return view.Serving
--- a/server/server.go
+++ b/server/server.go
@@ -30,6 +30,7 @@
 type Server struct {
 	config  atomic.Pointer[config.Config] // the one in force
 	read    *config.Config                // as last read; only Reload's goroutine has it
+	clock   clock
 	log     *zap.Logger
 	limited *zap.Logger // for what any client can cause, as often as it likes: limited in rate
 	gate    *gate.Gate[*call]
@@ -78,7 +79,7 @@
 
 // NewUnder is New under the operators' own settings.
 func NewUnder(c *config.Config, b *config.Settings, log *zap.Logger) *Server {
-	s := &Server{log: log, limited: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+	s := &Server{clock: systemClock(), log: log, limited: log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		up: make(chan struct{}), left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
@@ -89,7 +90,7 @@
 	for k, name := range c.Methods {
 		s.methods[name] = k
 	}
-	s.gate = gate.New[*call](clock(), c.Rules, c.Memory/keepShare)
+	s.gate = gate.New[*call](s.clock.now(), c.Rules, c.Memory/keepShare)
 	s.link = kernel.New[*run](c.Kernel, s, s.limited)
 	return s
 }
@@ -97,10 +98,6 @@
 // lineEvery is how often one and the same line about clients may be logged: often enough to be seen.
 const lineEvery = time.Second
 
-func clock() float64 { return float64(time.Now().UnixNano()) / 1e9 }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
 // Serve listens where the config says and runs until ctx ends, which is the notice to leave, and then until
 // all that was read is answered and the connections are closed, at the latest shortly before the config's
 // stop.
@@ -219,10 +216,10 @@
 		return nil
 	case <-ctx.Done():
 	}
-	stop := clock() + s.config.Load().Stop
+	stop := s.clock.now() + s.config.Load().Stop
 	s.enter(stageDraining)
-	s.gate.Leave(clock(), stop)
-	if !sleep(all, stop-s.spans.notAccepting-clock()) {
+	s.gate.Leave(s.clock.now(), stop)
+	if !sleep(all, stop-s.spans.notAccepting-s.clock.now()) {
 		return nil
 	}
 	listener.SetDeadline(time.Unix(1, 0))
@@ -233,13 +230,13 @@
 	case <-closed: // all that were let in are among the connections
 	}
 	for {
-		if clock() > stop-s.spans.closing && s.stageAt.Load() == int32(stageNotAccepting) {
+		if s.clock.now() > stop-s.spans.closing && s.stageAt.Load() == int32(stageNotAccepting) {
 			s.enter(stageClosing)
 		}
 		s.mu.Lock()
 		for c := range s.conns {
 			switch {
-			case clock() > stop-s.spans.cutShort:
+			case s.clock.now() > stop-s.spans.cutShort:
 				c.cutShort()
 			case s.stageAt.Load() == int32(stageClosing):
 				c.end()
@@ -249,7 +246,7 @@
 		}
 		n := len(s.conns)
 		s.mu.Unlock()
-		if n > 0 && clock() > stop-s.spans.exit {
+		if n > 0 && s.clock.now() > stop-s.spans.exit {
 			s.log.Warn("connections cut off", zap.Int("connections", n))
 			n = 0
 		}
@@ -295,7 +292,7 @@
 			s.do(job)
 			return nil
 		}) != nil && job.Do == gate.Run { // whether it was asked for is not known
-			s.gate.Report(clock(), job.RPC, rpc.Error, 0, nil)
+			s.gate.Report(s.clock.now(), job.RPC, rpc.Error, 0, nil)
 		}
 	}
 }
@@ -306,7 +303,7 @@
 	case gate.Run:
 		if err := s.link.Run(&run{job.RPC, k}, k.uid, s.config.Load().Methods[k.method], k.body); err != nil {
 			s.limited.Warn("run not asked for", zap.Error(err))
-			s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
+			s.gate.Report(s.clock.now(), job.RPC, rpc.Moot, 0, nil)
 		}
 	case gate.Pause:
 		s.link.Pause(k.uid)
@@ -333,10 +330,10 @@
 
 // beat brings the gate the time and the gauges as often as it asks.
 func (s *Server) beat(ctx context.Context) error {
-	due := clock()
+	due := s.clock.now()
 	for {
 		gauges := s.link.Gauges(freshGauges)
-		now := clock()
+		now := s.clock.now()
 		after := lookAgain
 		s.stopPanic(func() error {
 			after = s.gate.Tick(now, gauges)
@@ -346,7 +343,7 @@
 		if !sleep(ctx, due-now) {
 			return nil
 		}
-		s.press.lateBy(seconds(clock() - due))
+		s.press.lateBy(seconds(s.clock.now() - due))
 	}
 }
 
@@ -392,12 +389,12 @@
 // Booted is the kernel's first word.
 func (s *Server) Booted(ago float64, cold bool) {
 	s.log.Info("kernel up", zap.Float64("for_s", ago), zap.Bool("cold", cold))
-	warm := clock() - ago
+	warm := s.clock.now() - ago
 	if cold {
 		warm += s.config.Load().Rules.Rules.WarmIn
 	}
 	s.warmAt.Store(int64(warm * 1e9))
-	if s.gate.Boot(clock(), clock()-ago, cold) {
+	if s.gate.Boot(s.clock.now(), s.clock.now()-ago, cold) {
 		close(s.up)
 		signal(s.well)
 	}
@@ -420,7 +417,7 @@
 		}
 	}
 	s.stopPanic(func() error {
-		s.gate.Report(clock(), r.id, how, took, result)
+		s.gate.Report(s.clock.now(), r.id, how, took, result)
 		return nil
 	})
 }
