One steady clock; marks of the system's clock are translated; no length of time overflows

Cause: server.clock() was the system's clock. beat() slept for 'due - now', an hour after a step back; gate's max(now) held the module in the future after a step ahead; leave() took its stop, Execute its arrivals from it. seconds() turned what is over 292 years into -292 years, so that an idle time of 1e300 s had each resting connection asked to leave and sleep() returned at once; a ramp of 1e300 s was over at the start (warmAt overflowed).

--- a/server/clock.go
+++ b/server/clock.go
@@ -1,22 +1,89 @@
 package server
 
-import "time"
+import (
+	"math"
+	"sync"
+	"time"
+)
 
-// clock is the app server's time.
+// clock is the app server's time: Unix seconds as of its start, which then go on steadily whatever is done to the system's clock.
+// What others have marked with the system's time is translated to it, see arrival.
 type clock struct {
-	wall   func() float64 // the system's clock, in Unix seconds; it may be set at any time
-	steady func() float64 // seconds since the start, whatever is done to the system's clock
+	// read gives the system's clock in Unix seconds, which may be set at any time, and the seconds since the start, whatever is done to
+	// that clock. It reads both at once: a pause between them would look as if the clock had been set.
+	read   func() (wall, steady float64)
+	origin float64 // the system's clock at the start
+
+	mu    sync.Mutex
+	leads [maxLeads]float64 // how far this clock was ahead of the system's, the present lead first
 }
 
-func systemClock() clock {
+const (
+	// maxLeads is how many settings of the system's clock are told apart. RPCs marked before the last one are still to be read; the
+	// first lead, which is none, stands for routers that do not see the system's clock being set at all.
+	maxLeads = 3
+	// stepped is by how much the system's clock has to be off for it to have been set: a clock that is steered gains or loses less
+	// than a thousandth.
+	stepped = 0.05
+	// earliest is how far ahead of the clock an RPC may have come: marks are whole milliseconds, and clocks are read one after another.
+	earliest = 0.05
+)
+
+func systemClock() *clock {
 	start := time.Now()
-	return clock{
-		wall:   func() float64 { return float64(time.Now().UnixNano()) / 1e9 },
-		steady: func() float64 { return time.Since(start).Seconds() },
+	return newClock(func() (wall, steady float64) {
+		t := time.Now()
+		return float64(t.UnixNano()) / 1e9, t.Sub(start).Seconds()
+	})
+}
+
+func newClock(read func() (wall, steady float64)) *clock {
+	wall, steady := read()
+	return &clock{read: read, origin: wall - steady}
+}
+
+// now is the time in Unix seconds. It never steps.
+func (c *clock) now() float64 {
+	_, steady := c.read()
+	return c.origin + steady
+}
+
+// arrival gives the time and, on the same clock, when an RPC came that is marked with the system's time and is waited for ttl seconds
+// from then. The mark counts by the system's clock as it is set now. Where that makes no sense, as the RPC would come from the future
+// or be past its end, it counts by one of the earlier settings if by that it makes sense.
+func (c *clock) arrival(mark, ttl float64) (now, came float64) {
+	wall, steady := c.read()
+	now = c.origin + steady
+	leads := c.observe(now - wall)
+	for _, lead := range leads {
+		if came = mark + lead; came <= now+earliest && now-came <= ttl {
+			return now, came
+		}
+	}
+	return now, mark + leads[0]
+}
+
+// observe takes note of how far this clock is ahead of the system's.
+func (c *clock) observe(lead float64) [maxLeads]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if math.Abs(lead-c.leads[0]) > stepped {
+		copy(c.leads[1:maxLeads-1], c.leads[:]) // the last one stays: none
 	}
+	c.leads[0] = lead
+	return c.leads
 }
 
-// now is the time in Unix seconds.
-func (c *clock) now() float64 { return c.wall() }
+// longest is as long as anything is waited for: a century, which is half of what can be added to a time.
+const longest = 100 * 365 * 24 * time.Hour
 
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+// seconds converts a number of seconds of any size: below 0 and what is no number are 0, and nothing is longer than longest.
+func seconds(s float64) time.Duration {
+	switch {
+	case !(s > 0):
+		return 0
+	case s >= longest.Seconds():
+		return longest
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- a/server/clock_test.go
+++ b/server/clock_test.go
@@ -28,7 +28,10 @@
 func openStepped(change func(c *config.Config)) (*town, *clocks) {
 	s := &clocks{}
 	t := openPrepared(change, zap.NewNop(), func(server *Server) {
-		server.clock.wall = func() float64 { return float64(s.now().UnixNano()) / 1e9 }
+		start := time.Now()
+		server.clock = newClock(func() (wall, steady float64) {
+			return float64(s.now().UnixNano()) / 1e9, time.Since(start).Seconds()
+		})
 	})
 	t.linkUp()
 	return t, s
--- a/server/listen.go
+++ b/server/listen.go
@@ -252,7 +252,7 @@
 	if len(s.conns) < s.room()*3/4 {
 		return
 	}
-	slices.SortFunc(idle, func(a, b quiet) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
+	slices.SortFunc(idle, func(a, b quiet) int { return a.since.Compare(b.since) })
 	for _, q := range idle[:max(min(room, len(idle)), 0)] {
 		q.drain()
 	}
--- a/server/reader.go
+++ b/server/reader.go
@@ -159,7 +159,10 @@
 		c.reading = false
 		c.mu.Unlock()
 	}()
-	if busy || !c.turnsAway(k.Seq, method, k.Token, k.Recv, size) {
+	if busy {
+		return false, nil
+	}
+	if _, came := c.clock.arrival(k.Recv, longest.Seconds()); !c.turnsAway(k.Seq, method, k.Token, came, size) {
 		return false, nil
 	}
 	c.press.came(method, 0)
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -11,7 +11,7 @@
 	if c.out(seq) {
 		return
 	}
-	now := c.clock.now()
+	now, recv := c.clock.arrival(recv, ttl)
 	method, known := c.methods[string(op)]
 	tokened := known && c.tokened(method)
 	switch {
--- a/server/server.go
+++ b/server/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"net/netip"
 	"runtime/debug"
@@ -30,7 +31,7 @@
 type Server struct {
 	config  atomic.Pointer[config.Config] // the one in force
 	read    *config.Config                // as last read; only Reload's goroutine has it
-	clock   clock
+	clock   *clock
 	log     *zap.Logger
 	limited *zap.Logger // for what any client can cause, as often as it likes: limited in rate
 	gate    *gate.Gate[*call]
@@ -339,6 +340,9 @@
 			after = s.gate.Tick(now, gauges)
 			return nil
 		})
+		if !(after > 0) {
+			after = lookAgain
+		}
 		due = max(due+after, now) // what was missed is not made up for
 		if !sleep(ctx, due-now) {
 			return nil
@@ -389,12 +393,13 @@
 // Booted is the kernel's first word.
 func (s *Server) Booted(ago float64, cold bool) {
 	s.log.Info("kernel up", zap.Float64("for_s", ago), zap.Bool("cold", cold))
-	warm := s.clock.now() - ago
+	now := s.clock.now()
+	warm := now - ago
 	if cold {
 		warm += s.config.Load().Rules.Rules.WarmIn
 	}
-	s.warmAt.Store(int64(warm * 1e9))
-	if s.gate.Boot(s.clock.now(), s.clock.now()-ago, cold) {
+	s.warmAt.Store(int64(min(warm*1e9, math.MaxInt64/2)))
+	if s.gate.Boot(now, now-ago, cold) {
 		close(s.up)
 		signal(s.well)
 	}
