What a connection has read gets its answer before it ends; newcomers turned away are answered

Cause: read() returned between Frame and Decode for a ninth odd RPC or a 65th open one, so that the frame and all behind it in the buffer had no answer, and fail() then aborted the 64; fail() left out the RPC whose number came twice; takeIn() returned over whole frames in the buffer once cutShort had moved the connection on; readOn() read on before our side was shut; reject() and over() read whole RPCs (discard) and closed. Ruled out: the writer (all that is queued is written, Example_fault). Change: refuser (server/refuse.go) answers what is read and not taken in: pushed back, as it never ran, or aborted where another try of its token may have run; a second message under a used number is no RPC. 'ending' now has one last look, bounded in bytes (64 KiB) and time (50 ms of a reader that is off its core); an RPC past 64 open ones is refused and the connection goes on. turnAway answers what has come on a newcomer without waiting; what it has not read is left unread, so that the close proves that nothing of it ran. Tests changed, each to one stricter: Example_fault wanted 8 answers of 16 RPCs, now all 16; Example_strangers and Example_bad wanted no answer to the RPC at which, or under whose number, the connection ends, now one; Example_rejectUnread now wants the answer too, and as before an end and no reset. Example_room's stand-in got the new channel.

--- a/server/conn.go
+++ b/server/conn.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"valveglade/gate"
+	"valveglade/internal/readbuffer"
 	"valveglade/internal/thrift"
 )
 
@@ -63,11 +64,14 @@
 	used          time.Time // last frame either way
 	askedAt       time.Time // when the router was asked to leave, zero before
 	lastAt        time.Time // when it began to close
+	endedAt       time.Time // when nothing more was taken in
+	looked        bool      // the reader has had its last look, see lastLook
 	closeOnce     sync.Once // see Close
 	wake          chan struct{}
 	taken         chan struct{} // holds one when the writer has taken up what waited, or nothing more is taken in
+	shutDown      chan struct{} // closed once our side is shut
 	gone          chan struct{} // closed once the descriptor has been given back
-	last          int32         // number of the last RPC; the reader's own
+	numbers                     // of its RPCs; the reader's own
 	protocolError error         // what ends the connection; the reader's own
 	odd           atomic.Int32  // RPCs that could not be run
 }
@@ -96,9 +100,15 @@
 	c.group.Go(func() error {
 		defer c.over()
 		defer end()
-		if err := c.stopPanic(c.read); err != nil {
+		in := readbuffer.New(thrift.MaxFrame + 4)
+		err := c.stopPanic(func() error { return c.read(in) })
+		if err != nil {
 			c.fail(err)
 		}
+		c.stopPanic(func() error {
+			c.lastLook(in, err == nil || isRefusable(err))
+			return nil
+		})
 		c.readOn()
 		return nil
 	})
@@ -161,8 +171,7 @@
 	c.press.owed.Add(-c.owing)
 	c.mu.Unlock()
 	c.giveUp(open)
-	discard(c.Conn)
-	c.Close() // before its place is free
+	c.Close() // before its place is free; over what was never read it is a reset
 	c.Server.mu.Lock()
 	delete(c.conns, c)
 	c.Server.mu.Unlock()
--- a/server/end.go
+++ b/server/end.go
@@ -21,7 +21,7 @@
 	serving  phase = iota // what comes is taken in
 	draining              // the router has been asked to send nothing more; what comes all the same is taken in
 	closing               // it is shut as soon as nothing is owed on it and nothing lies unread
-	ending                // nothing more is taken in, what is owed is still written
+	ending                // nothing more runs; what has come is refused, and what is owed is still written
 	shut                  // all has been written and our side is shut; what comes is read and thrown away
 )
 
@@ -37,6 +37,9 @@
 	// halfFor is how long a closing connection waits for the rest of a message: what a router has begun to write is there
 	// within some milliseconds, and what is whole only after the shutdown has crossed it and is sent again.
 	halfFor = 50 * time.Millisecond
+	// lookFor is how long a connection whose time is up waits for its reader's last look: the rest of linger is for what the look finds
+	// to be written.
+	lookFor = linger / 4
 )
 
 // past is a deadline that wakes whoever reads.
@@ -53,10 +56,12 @@
 	case closing:
 		c.lastAt = now
 	case ending:
+		c.endedAt = now
 		signal(c.taken)
 		c.SetReadDeadline(past)
 		c.SetWriteDeadline(now.Add(linger)) // for who does not read its answers
 	case shut:
+		close(c.shutDown)
 		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 			half.CloseWrite()
 		}
@@ -70,7 +75,7 @@
 	case c.phase == closing && c.rests():
 		c.stirred = true
 		c.SetReadDeadline(past) // the reader alone knows what lies unread
-	case c.phase == ending && (c.mute || len(c.open) == 0 && len(c.replies) == 0 && !c.writing):
+	case c.phase == ending && (c.mute || c.looked && len(c.open) == 0 && len(c.replies) == 0 && !c.writing):
 		c.move(shut)
 	}
 }
@@ -79,8 +84,17 @@
 // our side is shut, what crosses that is read and thrown away, and then the descriptor is given back.
 func (c *conn) end() { c.endIn(closing) }
 
-// cutShort is end where the time is up: what lies unread is not taken in any more.
-func (c *conn) cutShort() { c.endIn(ending) }
+// cutShort is end where the time is up: what has come is refused. Guards against a reader that does not come to its turn: the
+// connection does not wait for it longer than lookFor.
+func (c *conn) cutShort() {
+	c.endIn(ending)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.looked && c.phase == ending && time.Since(c.endedAt) > lookFor {
+		c.looked = true
+		c.settle()
+	}
+}
 
 func (c *conn) endIn(p phase) {
 	c.mu.Lock()
@@ -181,48 +195,43 @@
 	return n, nil
 }
 
-// reject ends a connection that is not served, in good order as far as that goes without waiting.
-func reject(nc net.Conn) {
-	if half, ok := nc.(interface{ CloseWrite() error }); ok {
-		half.CloseWrite()
-	}
-	discard(nc)
-	nc.Close()
-}
-
-// discard throws away what lies unread on a connection that is closed next: its router is to hear an end and no reset.
-func discard(nc net.Conn) {
-	buf := make([]byte, 4<<10)
-	for size := 0; size < lingerSize; {
-		n, err := (unread{nc}).Read(buf)
-		if err != nil {
-			return
-		}
-		size += n
-	}
-}
-
-// fail ends a connection on which came what no router sends. What else was open on it is aborted, as its client cannot be
-// believed any more; the RPC whose number came twice gets no answer, which would be one to both.
+// fail ends a connection on which came what no router sends. What is open on it is aborted, as its client cannot be believed any
+// more.
 func (c *conn) fail(err error) {
 	c.limited.Warn("connection closed", zap.Stringer("router", c.RemoteAddr()), zap.Error(err))
 	c.mu.Lock()
 	open := c.open
 	c.open, c.reading = map[int32]*call{}, false
-	twice := (*usedTwice)(nil)
-	errors.As(err, &twice)
 	for seq := range open {
-		if twice != nil && twice.seq == seq {
-			continue
-		}
 		c.queue(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
 	}
 	c.move(ending)
-	c.settle()
 	c.mu.Unlock()
 	c.giveUp(open)
 }
 
+// lastLook answers what has been read, or lies unread, on a connection that takes nothing in any more. Where what came cannot be made
+// sense of, nothing behind it can.
+func (c *conn) lastLook(in *readbuffer.Buffer, readable bool) {
+	c.mu.Lock()
+	look := readable && c.phase == ending && !c.looked
+	c.mu.Unlock()
+	defer func() { // whatever becomes of the look
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.looked, c.reading = true, false
+		c.settle()
+	}()
+	if look {
+		c.refuser().refuse(in, c.Conn)
+	}
+}
+
+// refuser answers for the connection what it takes in no more.
+func (c *conn) refuser() refuser {
+	return refuser{Server: c.Server, numbers: &c.numbers, say: c.say, interrupt: c.Interrupt}
+}
+
 // giveUp tells the gate that nobody waits any more for RPCs that were open.
 func (c *conn) giveUp(open map[int32]*call) {
 	for _, k := range open {
@@ -247,17 +256,15 @@
 	}
 }
 
-// readOn reads an ended connection to its end, within bounds, and takes nothing in.
+// readOn reads a shut connection to its end, within bounds, and takes nothing in. Before it is shut, nothing more is read.
 func (c *conn) readOn() {
 	c.mu.Lock()
-	if c.phase < ending || c.evicted { // the router has ended it, or there is no time
-		c.mu.Unlock()
+	skip := c.phase < ending || c.evicted // the router has ended it, or there is no time
+	c.mu.Unlock()
+	if skip {
 		return
 	}
-	if c.phase == ending {
-		c.SetReadDeadline(time.Time{}) // till all is written, which has a bound of its own
-	}
-	c.mu.Unlock()
+	<-c.shutDown // a connection that ends has a bound for its last write
 	buf := make([]byte, 4<<10)
 	for size := 0; size < lingerSize; {
 		n, err := c.Read(buf)
--- a/server/end_test.go
+++ b/server/end_test.go
@@ -229,7 +229,7 @@
 	// served: <nil>
 }
 
-// A newcomer that is turned away, its first RPC unread, hears an end. A close alone would be a reset.
+// A newcomer that is turned away hears the answer to its first RPC and an end. A close alone would be a reset.
 func Example_rejectUnread() {
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	defer listener.Close()
@@ -242,14 +242,16 @@
 		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
 		return n > 0
 	})
-	reject(nc)
+	New(&config.Config{Memory: 64 << 20}, zap.NewNop()).turnAway(nc)
 	must(r.Conn.(*net.TCPConn).SyscallConn()).Control(func(fd uintptr) {
 		keyError, _ := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
 		fmt.Println("reset:", keyError != 0)
 	})
+	r.hear(1)
 	r.ends()
 	// Output:
 	// reset: false
+	// router: 1 pushed back
 	// router: the end, after 0 bytes
 }
 
@@ -416,7 +418,7 @@
 		odd.execute(seq+1, "op", "sing")
 	}
 	g.free() // all in few reads
-	odd.hear(mostOdd)
+	odd.hear(2 * mostOdd)
 	odd.ends()
 	until("gone", func() bool { return !c.there() })
 
@@ -444,6 +446,14 @@
 	// router: 6 aborted
 	// router: 7 aborted
 	// router: 8 aborted
+	// router: 9 pushed back
+	// router: 10 pushed back
+	// router: 11 pushed back
+	// router: 12 pushed back
+	// router: 13 pushed back
+	// router: 14 pushed back
+	// router: 15 pushed back
+	// router: 16 pushed back
 	// router: the end, after 0 bytes
 	// kernel: SCHED 4 record body of t
 	// router: 20 aborted
--- a/server/listen.go
+++ b/server/listen.go
@@ -86,7 +86,7 @@
 	}
 	if why != "" {
 		s.limited.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
-		reject(nc) // nothing has been read, so nothing is owed
+		s.turnAway(nc)
 		return
 	}
 	if tcp, ok := nc.(*net.TCPConn); ok {
@@ -94,7 +94,7 @@
 		tcp.SetWriteBuffer(socketBuffer)
 	}
 	c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, used: time.Now(), wake: make(chan struct{}, 1),
-		taken: make(chan struct{}, 1), gone: make(chan struct{})}
+		taken: make(chan struct{}, 1), shutDown: make(chan struct{}), gone: make(chan struct{})}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
--- a/server/owed_test.go
+++ b/server/owed_test.go
@@ -208,7 +208,7 @@
 		nc := must(listener.Accept()).(*net.TCPConn)
 		send(r)
 		unreadOn(nc)
-		reject(nc)
+		t.turnAway(nc)
 		r.hearEnd()
 	}
 	t.close()
--- a/server/reader.go
+++ b/server/reader.go
@@ -11,8 +11,7 @@
 )
 
 // read takes frames until the connection ends; the end of the connection is no error.
-func (c *conn) read() error {
-	in := readbuffer.New(thrift.MaxFrame + 4)
+func (c *conn) read(in *readbuffer.Buffer) error {
 	c.readBy(whole) // silence from the start is half a message too
 	turn := 0       // RPCs since others last had theirs
 	late := false   // what has come of a message was not whole in time
@@ -58,12 +57,9 @@
 			return nil
 		}
 		if c.odd.Load() >= mostOdd {
-			return errors.New("too many RPCs that cannot be run")
+			return errTooManyOdd
 		}
-		if full {
-			return errors.New("more open RPCs than a connection may carry")
-		}
-		if err := errors.Join(thrift.Decode(frame, c), c.protocolError); err != nil {
+		if err := c.decode(frame, full); err != nil {
 			return err
 		}
 		in.Take(size)
@@ -77,7 +73,30 @@
 	}
 }
 
-var errHalf = errors.New("half a message, or none")
+// decode takes in a frame, or refuses it where the connection is full.
+func (c *conn) decode(frame []byte, full bool) error {
+	if full {
+		return thrift.Decode(frame, c.refuser())
+	}
+	before := c.last
+	err := errors.Join(thrift.Decode(frame, c), c.protocolError)
+	if now := c.last; now > before {
+		c.last = before
+		c.rise(now)
+	}
+	return err
+}
+
+var (
+	errHalf       = errors.New("half a message, or none")
+	errTooManyOdd = errors.New("too many RPCs that cannot be run")
+)
+
+// isRefusable reports whether the messages behind the one that ended a connection can be read, and so refused.
+func isRefusable(err error) bool {
+	twice := (*usedTwice)(nil)
+	return errors.Is(err, errTooManyOdd) || errors.As(err, &twice)
+}
 
 // readBy bounds how long the next bytes may take, 0 for as long as it likes. Once nothing more is taken in, move has set
 // the bound, and the reader's own come too late.
@@ -118,13 +137,13 @@
 	c.partial = part
 }
 
-// takeIn marks that a frame is being taken in. While too many answers wait to be written it waits for the writer first:
-// under overload callers give up and ask anew faster than it comes to its turn, and a connection that is closed for that
-// would lose what is open on it.
+// takeIn marks that a frame is being taken in; full tells that it is one more than the connection may have open, and is refused. While
+// too many answers wait to be written it waits for the writer first: under overload callers give up and ask anew faster than it comes
+// to its turn.
 func (c *conn) takeIn() (ends, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.phase < ending && !c.mute && len(c.open) < mostOpen && len(c.open)+len(c.replies) >= mostOpen {
+	for c.phase < ending && !c.mute && c.answersWait() {
 		c.mu.Unlock()
 		<-c.taken
 		c.mu.Lock()
@@ -136,6 +155,14 @@
 	return false, len(c.open) >= mostOpen
 }
 
+// answersWait is called under the lock.
+func (c *conn) answersWait() bool {
+	if len(c.open) < mostOpen {
+		return len(c.open)+len(c.replies) >= mostOpen
+	}
+	return len(c.replies) >= mostOpen
+}
+
 // passOver refuses an RPC that is not all there, if it is larger than what is read now, and throws away what comes of it.
 // It tells whether it did. Behind an RPC that did not come whole nothing can be read any more.
 func (c *conn) passOver(in *readbuffer.Buffer) (done bool, err error) {
@@ -166,7 +193,7 @@
 		return false, nil
 	}
 	c.press.came(method, 0)
-	c.last = k.Seq
+	c.rise(k.Seq)
 	c.readBy(whole)
 	for rest := size; ; {
 		n := min(rest, len(in.Bytes()))
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -353,7 +353,7 @@
 	twice.execute(8)
 	t.asked()
 	twice.execute(8, "op", "sing")
-	twice.hear(1)
+	twice.hear(2)
 	t.asked() // nobody waits for it any more
 	r.execute(9)
 	t.asked()
@@ -373,6 +373,7 @@
 	// router: the connection ends
 	// router: the connection ends
 	// kernel: SCHED 8 look body 8
+	// router: 8 aborted
 	// router: the connection ends
 	// kernel: PREEMPT 8
 	// kernel: SCHED 9 look body 9
@@ -529,7 +530,7 @@
 	}
 	bad.hear(mostOdd - 3)
 	bad.execute(18)
-	bad.hear(1)
+	bad.hear(2)
 	t.reap(1, "fine", "one")
 	r.hear(1)
 	t.close()
@@ -546,6 +547,7 @@
 	// router: 15 aborted
 	// router: 16 aborted
 	// router: 17 aborted
+	// router: 18 pushed back
 	// router: the connection ends
 	// router: 1 ok "one" good 1
 	// served: <nil>
@@ -570,7 +572,7 @@
 	t := open(func(c *config.Config) { c.Sockets = reserve + 1 })
 	stuck := waits{end: make(chan bool)}
 	t.Server.mu.Lock()
-	t.conns[&conn{Server: t.Server, Conn: stuck, known: true, gone: make(chan struct{})}] = struct{}{}
+	t.conns[&conn{Server: t.Server, Conn: stuck, known: true, shutDown: make(chan struct{}), gone: make(chan struct{})}] = struct{}{}
 	t.Server.mu.Unlock()
 	r := t.dial()
 	r.execute(1)
