kernel: failing tests of the link: runs asked for twice, ends of others, forms, silence, moves

fault_test.go against a scripted kernel on a real socket; go test ./internal/kernel, each fails: - Example_once: a run that must not run twice is asked for again after a break although the kernel has read of it; if it ends between the kernel's answer on the new link and the second SCHED, it runs twice. - Example_onceLost, Example_onceDoubted: the same where no end comes, and where notices were lost. - Example_doubtOfTheFirst: a doubt ends, 20 s later, another run that has the name by then. - Example_endOfAnother: an end that comes before its command went out gives another's result to the run. - Example_lostAfterAnswer: a command of the last 50 ms that was lost although a later question was answered is never sent again, and its run counts for ever. - Example_forms: 'pos' as 6.0 or 6e0, or any field of another kind, costs the whole line: the run never ends. '<&>' in names goes out as escapes. - Example_longRemark: a remark past 64 KiB ends the link, and each one after it. - Example_unanswered: without an answer to the first question no command is ever sent. - Example_movedOnce: a move leaves commands in doubt. - Example_stoppedProcess: a process stopped for 5 s ends the link though notices lie there unread.

Run takes whether an RPC may run twice (the server tells it by the method's kind); nothing goes by it yet, nor by syncFor.

--- /dev/null
+++ b/internal/kernel/fault_test.go
@@ -0,0 +1,358 @@
+package kernel
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// boot takes the next connection and says that the kernel is up; its first question is answered.
+func (c *cores) boot(notices ...string) {
+	c.accept()
+	c.say(append([]string{`{"action":"BOOTED","code":"running","wall_ms":10}`}, notices...)...)
+	c.hear(1)
+	c.owner(1)
+}
+
+// quiet tells whether nothing more was told or asked within a moment.
+func (c *cores) quiet() {
+	select {
+	case told := <-c.told:
+		fmt.Println(told)
+	default:
+	}
+	c.conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if line, err := c.lines.ReadString('\n'); err == nil {
+		fmt.Println("<", strings.TrimSpace(line))
+	}
+	c.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+}
+
+// A run that must not run twice, and that the kernel may have read of before the link broke: it ends between the kernel's word
+// on the new link and what would be sent again, and to ask for it again would run it again. What has never been written
+// goes out, and so does what may run twice.
+func Example_once() {
+	c := start()
+	c.boot()
+	c.Run("A", "a", "pay", nil, false)
+	c.Run("B", "b", "look", nil, true)
+	c.hear(2)
+	c.conn.Close()
+	c.accept()
+	c.Run("C", "c", "pay", nil, false)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":20}`)
+	c.owner(1)
+	c.hear(3)
+	c.quiet()
+	c.say(`{"action":"REAP","pos":1,"uid":"a","code":"fine","wall_ms":5,"content":"YQ=="}`,
+		`{"action":"REAP","pos":2,"uid":"b","code":"fine","wall_ms":5}`,
+		`{"action":"REAP","pos":3,"uid":"c","code":"fine","wall_ms":5}`)
+	c.owner(3)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"pay","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// booted 0.02 ago, cold false
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"c","lane":"pay","content":""} <nil>
+	// A ended after 0.005: "a", <nil>
+	// B ended after 0.005: "", <nil>
+	// C ended after 0.005: "", <nil>
+	// ended: <nil>
+}
+
+// The same run when its command was lost: no end ever comes, and it is let go after a while.
+func Example_onceLost() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 50 * time.Millisecond })
+	c.boot()
+	c.Run("A", "a", "pay", nil, false)
+	c.hear(1)
+	c.conn.Close()
+	c.boot()
+	c.owner(1)
+	c.quiet()
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"pay","content":""} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// booted 0.01 ago, cold false
+	// A ended after 0: "", run end lost (sent)
+	// ended: <nil>
+}
+
+// Notices are lost, and among them may be the end of a run whose command the kernel may not have read: one that must not run
+// twice is not asked for again.
+func Example_onceDoubted() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 50 * time.Millisecond })
+	c.boot()
+	c.Run("A", "a", "pay", nil, false)
+	c.hear(1)
+	c.conn.Close()
+	c.boot(`{"action":"DMESG","pos":4001,"code":"hm"}`)
+	c.owner(1)
+	c.quiet()
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"pay","content":""} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// booted 0.01 ago, cold false
+	// A ended after 0: "", run end lost (sent)
+	// ended: <nil>
+}
+
+// A run in doubt ends, and its name comes back for another: the doubt is of the first alone.
+func Example_doubtOfTheFirst() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 100 * time.Millisecond })
+	c.boot()
+	c.Run("A", "a", "look", nil, true)
+	c.hear(1)
+	go c.Gauges(20 * time.Second)
+	c.hear(1)
+	c.conn.Close()
+	c.boot(`{"action":"DMESG","pos":4001,"code":"hm"}`, `{"action":"REAP","pos":4002,"uid":"a","code":"fine","wall_ms":6}`)
+	c.owner(1)
+	c.Run("second A", "a", "look", nil, true)
+	c.hear(1)
+	time.Sleep(200 * time.Millisecond) // the doubt's time is over
+	c.say(`{"action":"REAP","pos":4003,"uid":"a","code":"fine","wall_ms":6}`)
+	c.owner(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"3"} <nil>
+	// booted 0.01 ago, cold false
+	// A ended after 0.006: "", <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// second A ended after 0.006: "", <nil>
+	// ended: <nil>
+}
+
+// The end of a run whose command has not gone out yet is another's, who had the same name before: its result is not given to
+// this one.
+func Example_endOfAnother() {
+	c := start()
+	c.accept()
+	c.Run("A", "a", "look", nil, true)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`,
+		`{"action":"REAP","pos":1,"uid":"a","code":"fine","wall_ms":5,"content":"AP8="}`)
+	c.owner(1)
+	c.hear(2)
+	c.say(`{"action":"REAP","pos":2,"uid":"a","code":"fine","wall_ms":6,"content":"YQ=="}`)
+	c.owner(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// A ended after 0.006: "a", <nil>
+	// ended: <nil>
+}
+
+// What the kernel has read in the last moments before a break may be lost although it has answered a later question.
+func Example_lostAfterAnswer() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 50 * time.Millisecond })
+	c.boot()
+	c.Run("A", "a", "look", nil, true)
+	c.Run("B", "b", "pay", nil, false)
+	c.hear(2)
+	go c.Gauges(20 * time.Second)
+	c.hear(1)
+	c.conn.Close()
+	c.boot()
+	c.hear(1)
+	c.owner(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"pay","content":""} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"3"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// B ended after 0: "", run end lost (sent)
+	// ended: <nil>
+}
+
+// Names go out as they are, and numbers come in any form that JSON has; a field of another kind than it should be costs only
+// itself, and what is of no use may be anything.
+func Example_forms() {
+	c := start()
+	c.accept()
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":1e1,"more":[{}]}`)
+	c.hear(1)
+	c.owner(1)
+	for k, uid := range []string{"a", "b", "c", "d"} {
+		c.Run("R"+uid, uid, `<&> "é" `+string(rune('0'+k)), nil, true)
+	}
+	c.hear(4)
+	c.say(`{"action":"REAP","pos":1.0,"uid":"a","code":"fine","wall_ms":5,"content":null}`,
+		`{"action":"REAP","pos":2e0,"uid":"b","code":"fine","wall_ms":5,"content":"Yg==","echo":7,"meters":"none"}`,
+		`{"action":"REAP","pos":3,"uid":"c","code":"fine","wall_ms":5,"content":"not base64"}`,
+		`{"action":"REAP","pos":4,"uid":"d","code":"fine","wall_ms":"long","content":"ZA=="}`)
+	c.owner(4)
+	go c.Gauges(20 * time.Second)
+	c.hear(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"<&> \"é\" 0","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"<&> \"é\" 1","content":""} <nil>
+	// < {"action":"SCHED","uid":"c","lane":"<&> \"é\" 2","content":""} <nil>
+	// < {"action":"SCHED","uid":"d","lane":"<&> \"é\" 3","content":""} <nil>
+	// Ra ended after 0.005: "", <nil>
+	// Rb ended after 0.005: "b", <nil>
+	// Rc ended after 0.005: "", run unreadable result (started)
+	// Rd ended after 0: "d", <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// ended: <nil>
+}
+
+// A remark longer than any line that means something is passed over; else it would come again on every new link.
+func Example_longRemark() {
+	c := start()
+	c.boot(`{"action":"DMESG","pos":1,"code":"`+strings.Repeat("hm ", 1<<17)+`"}`,
+		`{"action":"DMESG","pos":2,"code":"hm"}`)
+	c.Run("A", "a", "look", nil, true)
+	c.hear(1)
+	c.say(`{"action":"REAP","pos":3,"uid":"a","code":"fine","wall_ms":5}`)
+	c.owner(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// A ended after 0.005: "", <nil>
+	// ended: <nil>
+}
+
+// A kernel that never answers the first question is asked for runs all the same.
+func Example_unanswered() {
+	c := startWith(func(l *Link[string]) { l.syncFor = 50 * time.Millisecond })
+	c.accept()
+	c.Run("A", "a", "look", nil, true)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.owner(1)
+	for range 2 {
+		line, _ := c.lines.ReadString('\n')
+		fmt.Print(line)
+	}
+	c.say(`{"action":"REAP","pos":1,"uid":"a","code":"fine","wall_ms":5}`)
+	c.owner(1)
+	fmt.Println(c.Gauges(time.Millisecond))
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// booted 0.01 ago, cold false
+	// {"action":"SYSINFO","echo":"1"}
+	// {"action":"SCHED","uid":"a","lane":"look","content":""}
+	// A ended after 0.005: "", <nil>
+	// []
+	// ended: <nil>
+}
+
+// The link moves in good order: what has been written is read on the old connection before the new one takes its place, so
+// that nothing is in doubt that must not run twice.
+func Example_movedOnce() {
+	c := startWith(func(l *Link[string]) { l.doubtFor = 20 * time.Millisecond })
+	c.boot()
+	c.Run("A", "a", "pay", nil, false)
+	c.hear(1)
+	old := c.Listener
+	second, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	c.Listener = second
+	c.Move(netip.MustParseAddrPort(second.Addr().String()))
+	c.hear(1)
+	c.boot()
+	c.Run("B", "b", "pay", nil, false)
+	c.hear(1)
+	c.quiet() // for longer than a doubt lasts
+	c.say(`{"action":"REAP","pos":1,"uid":"a","code":"fine","wall_ms":5}`)
+	c.owner(1)
+	old.Close()
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"pay","content":""} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"3"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"b","lane":"pay","content":""} <nil>
+	// A ended after 0.005: "", <nil>
+	// ended: <nil>
+}
+
+// script is a connection of which each read gives the next step, an error or text.
+type script struct {
+	net.Conn
+	steps []any
+}
+
+func (s *script) Read(b []byte) (int, error) {
+	if len(s.steps) == 0 {
+		return 0, io.EOF
+	}
+	step := s.steps[0]
+	s.steps = s.steps[1:]
+	if err, failed := step.(error); failed {
+		return 0, err
+	}
+	return copy(b, step.(string)), nil
+}
+
+func (s *script) SetReadDeadline(time.Time) error { return nil }
+
+// This process was stopped for longer than a silent kernel is borne, so that the deadline is over before what came meanwhile
+// is read: that is read first, and only a kernel that stays silent has its link made anew.
+func Example_stoppedProcess() {
+	c := &cores{told: make(chan string, 10)}
+	l := New[string](netip.AddrPort{}, c, zap.NewNop())
+	fmt.Println(l.read(&script{steps: []any{
+		`{"action":"BOOTED","code":"running","wall_ms":10}` + "\n" + `{"action":"INFO","echo":"1","meters":[]}` + "\n",
+		os.ErrDeadlineExceeded, `{"action":"DMESG","pos":1,"code":"hm"}` + "\n",
+		os.ErrDeadlineExceeded, `{"action":"DMESG","pos":2,"code":"hm"}` + "\n",
+		os.ErrDeadlineExceeded, os.ErrDeadlineExceeded,
+		`{"action":"DMESG","pos":3,"code":"hm"}` + "\n",
+	}}, func() {}))
+	fmt.Println(l.pos)
+	// Output:
+	// i/o timeout
+	// 2
+}
--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -61,6 +61,7 @@
 	moved chan struct{} // holds one after a change of at
 
 	doubtFor time.Duration // given to runs whose end may have been lost
+	syncFor  time.Duration // given to the answer to the first question on a connection
 
 	mu       sync.Mutex
 	at       netip.AddrPort
@@ -83,8 +84,9 @@
 		work: make(chan struct{}, 1), informed: make(chan struct{}, 1)}
 }
 
-// Run asks for a run; its end comes to the owner. A name that runs already is not taken again.
-func (l *Link[K]) Run(run K, uid, lane string, body []byte) error {
+// Run asks for a run; its end comes to the owner. A name that runs already is not taken again. repeatable tells whether it
+// may run a second time.
+func (l *Link[K]) Run(run K, uid, lane string, body []byte, repeatable bool) error {
 	if body == nil {
 		body = []byte{} // an empty body is "", not null
 	}
--- a/internal/kernel/link_test.go
+++ b/internal/kernel/link_test.go
@@ -101,13 +101,13 @@
 func Example_ends() {
 	c := start()
 	c.accept()
-	c.Run("A", "a", "look", []byte{0, 255})
+	c.Run("A", "a", "look", []byte{0, 255}, true)
 	c.say(`{"action":"BOOTED","code":"starting","wall_ms":1500}`)
 	c.hear(2)
-	fmt.Println(c.Run("A", "a", "look", nil))
+	fmt.Println(c.Run("A", "a", "look", nil, true))
 	for k, code := range []string{"fine", "fault", "broken_off", "late"} {
 		uid := string(rune('b' + k))
-		c.Run("R"+uid, uid, "look", nil)
+		c.Run("R"+uid, uid, "look", nil, true)
 		c.hear(1)
 		if code == "broken_off" {
 			c.Pause(uid)
@@ -147,20 +147,20 @@
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
 	c.hear(1)
 	c.owner(1)
-	c.Run("A", "a", "look", nil)
+	c.Run("A", "a", "look", nil, true)
 	c.hear(1)
 	asked := make(chan []float64)
 	go func() { asked <- c.Gauges(20 * time.Second) }()
 	c.hear(1) // the answer proves that a's command has been read
 	fmt.Println("gauges", <-asked)
-	c.Run("B", "b", "look", nil)
+	c.Run("B", "b", "look", nil, true)
 	c.hear(1)
-	c.Run("C", "c", "look", nil)
+	c.Run("C", "c", "look", nil, true)
 	c.hear(1)
 	c.say(`{"action":"REAP","pos":1,"uid":"x","code":"fine","wall_ms":1}`, `{"action":"DMESG","pos":2,"code":"hm"}`)
 	c.conn.Close()
 	c.accept()
-	c.Run("D", "d", "look", nil)
+	c.Run("D", "d", "look", nil, true)
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":99}`, `{"action":"DMESG","pos":2,"code":"hm"}`,
 		`{"action":"REAP","pos":3,"uid":"b","code":"fine","wall_ms":5,"content":"Yg=="}`,
 		`{"action":"REAP","pos":3,"uid":"c","code":"fine","wall_ms":5}`)
@@ -196,10 +196,10 @@
 	c.accept()
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
 	c.hear(1)
-	c.Run("A", "a", "look", nil)
+	c.Run("A", "a", "look", nil, true)
 	c.hear(1)
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`, `{"action":"INFO","meters":[1]}`)
-	c.Run("B", "b", "look", nil)
+	c.Run("B", "b", "look", nil, true)
 	c.hear(1)
 	c.conn.Close()
 	c.accept()
@@ -224,8 +224,8 @@
 	c.accept()
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
 	c.hear(1)
-	c.Run("A", "a", "look", nil)
-	c.Run("B", "b", "look", nil)
+	c.Run("A", "a", "look", nil, true)
+	c.Run("B", "b", "look", nil, true)
 	c.hear(2)
 	c.say(`{"action":"DMESG","pos":1,"code":"hm"}`, `{"action":"REAP","pos":3,"uid":"a","code":"fine","wall_ms":5}`)
 	c.accept()
@@ -253,14 +253,14 @@
 	c.accept()
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
 	c.hear(1)
-	c.Run("A", "a", "look", nil)
-	c.Run("B", "b", "look", nil)
+	c.Run("A", "a", "look", nil, true)
+	c.Run("B", "b", "look", nil, true)
 	c.hear(2)
 	go c.Gauges(20 * time.Second)
 	c.hear(1) // its answer proves that both have been read
 	c.conn.Close()
 	c.accept()
-	c.Run("C", "c", "look", nil)
+	c.Run("C", "c", "look", nil, true)
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":99}`, `{"action":"DMESG","pos":4001,"code":"hm"}`,
 		`{"action":"REAP","pos":4002,"uid":"b","code":"fine","wall_ms":6,"content":"Yg=="}`)
 	c.owner(4)
@@ -293,7 +293,7 @@
 	c.accept()
 	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
 	c.hear(1)
-	c.Run("A", "a", "look", nil)
+	c.Run("A", "a", "look", nil, true)
 	c.hear(1)
 	c.say(`{"action":"DMESG","pos":1,"code":"hm"}`)
 	c.Move(netip.MustParseAddrPort(c.Addr().String())) // where it is already
@@ -304,7 +304,7 @@
 	at := second.Addr().String()
 	second.Close() // nobody listens there yet
 	c.Move(netip.MustParseAddrPort(at))
-	c.Run("B", "b", "look", nil)
+	c.Run("B", "b", "look", nil, true)
 	c.hear(1)
 	c.Listener.Close()
 	if c.Listener, err = net.Listen("tcp", at); err != nil {
@@ -337,7 +337,7 @@
 	f.Fuzz(func(t *testing.T, text []byte) {
 		c := &cores{told: make(chan string, 1+len(text))}
 		l := New[string](netip.AddrPort{}, c, zap.NewNop())
-		l.Run("A", "a", "look", nil)
+		l.Run("A", "a", "look", nil, true)
 		near, far := net.Pipe()
 		go func() {
 			far.Write(text)
--- a/server/server.go
+++ b/server/server.go
@@ -304,7 +304,9 @@
 	k := job.For
 	switch job.Do {
 	case gate.Run:
-		if err := s.link.Run(&run{job.RPC, k}, k.uid, s.config.Load().Methods[k.method], k.body); err != nil {
+		c := s.config.Load()
+		repeatable := c.Rules.Methods[k.method].Kind == rpc.Idempotent
+		if err := s.link.Run(&run{job.RPC, k}, k.uid, c.Methods[k.method], k.body, repeatable); err != nil {
 			s.limited.Warn("run not asked for", zap.Error(err))
 			s.gate.Report(clock(), job.RPC, rpc.Moot, 0, nil)
 		}
