kernel: nothing that must not run twice is asked for twice; ends, forms, silence and moves

Causes, in internal/kernel/link.go and notices.go as they were: - hold and sync sent each unproven SCHED again on the next link. The answer to the question before it tells the runs up to then; one that ends between that answer and the second SCHED runs twice, if its RPC has not been answered yet. A process that stands still in between, or a kernel that does, makes the gap as long as one likes. EINVAL and late for such a second copy were taken for proof that nothing ran, and the token was let go. - inform took a command for safe once a later question was answered, though the last 50 ms before a break may be lost: the run then counted for ever, and the cores were believed taken. - doubt went by name, not by run; ended took the end of whoever had the name before; both could end another RPC's run. - one field of another kind, 6.0 for 6 among them, cost the whole line; a line past 64 KiB the link, and again on each new one. - up came with the first answer alone: without it no command was ever sent. - a read deadline that was over while the process itself was stopped ended the link with notices unread. - a move cut the old connection off as a break does.

Change: commands.go holds the list; Run tells whether the RPC may run twice. What may not and may have been read is not sent again: its end comes all the same, or it is let go as 'sent' after 20 s with a link (Abort; a tokened one's repeats too). What was surely never written is sent. A command leaves the list when a question that was written 100 ms after it was known to be read is answered. Doubt goes by run. Fields are read one by one, numbers as numbers; a long line is thrown away as it comes. The first answer is waited for a second at most. A late read or write has a second chance. A move asks a last question on the old connection, and takes nothing over that was answered for.

Price: after a break, tokened and non-idempotent RPCs asked for within its last tenth of a second that the kernel had not read are aborted, where before they were asked for again.

Changed tests: start sets lossSpan to 0, as the older examples are of what is proven; Example_moved has one question more, the move's; FuzzRead's run counts as asked for, so that it can end at all.

--- a/internal/kernel/link_test.go
+++ b/internal/kernel/link_test.go
@@ -34,6 +34,7 @@
 	}
 	c := &cores{Listener: listener, told: make(chan string, 100)}
 	c.Link = New[string](netip.MustParseAddrPort(listener.Addr().String()), c, zap.NewNop())
+	c.Link.lossSpan = 0 // what is answered for is with the kernel, unless the test says otherwise
 	if change != nil {
 		change(c.Link)
 	}
@@ -287,7 +288,8 @@
 }
 
 // The kernel moves: the old connection serves until one to the new address stands, then runs, the number of the
-// last notice and what may not have been read go over. Before there was Move the link died with the old address.
+// last notice and what may not have been read go over, here because the old address does not answer the last question, the
+// second. Before there was Move the link died with the old address.
 func Example_moved() {
 	c := start()
 	c.accept()
@@ -325,7 +327,7 @@
 	// booted 0.01 ago, cold false
 	// booted 0.099 ago, cold false
 	// A ended after 0.005: "a", <nil>
-	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"SYSINFO","echo":"3"} <nil>
 	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
 	// ended: <nil>
 }
@@ -338,6 +340,7 @@
 		c := &cores{told: make(chan string, 1+len(text))}
 		l := New[string](netip.AddrPort{}, c, zap.NewNop())
 		l.Run("A", "a", "look", nil, true)
+		l.commands.take(time.Now())
 		near, far := net.Pipe()
 		go func() {
 			far.Write(text)
--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
+	"encoding/base64"
 	"encoding/json"
 	"errors"
 	"net"
-	"slices"
+	"os"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,101 +17,175 @@
 // maxLine holds a result of 4 KiB in base64 many times over.
 const maxLine = 64 << 10
 
+// notice is a line of the kernel's, of any kind. Numbers may come in any form that JSON has.
+type notice struct {
+	Action  string    `json:"action"`
+	Pos     float64   `json:"pos"`
+	UID     string    `json:"uid"`
+	Code    string    `json:"code"`
+	Took    float64   `json:"wall_ms"`
+	Content []byte    `json:"content"`
+	Echo    string    `json:"echo"`
+	Meters  []float64 `json:"meters"`
+
+	garbled bool // its content cannot be read
+}
+
+// decode reads a line. A field of another kind than it should be is as one left out: it may be of no use here.
+func (n *notice) decode(line []byte) error {
+	err := json.Unmarshal(line, n)
+	if kind := (*json.UnmarshalTypeError)(nil); errors.As(err, &kind) {
+		n.garbled = kind.Field == "content"
+		return nil
+	}
+	if corrupt := base64.CorruptInputError(0); errors.As(err, &corrupt) {
+		n.garbled = true
+		return nil
+	}
+	return err
+}
+
+// reader is what is known of one connection's notices.
+type reader[K any] struct {
+	*Link[K]
+	booted    bool
+	answers   bool // the kernel has answered a question, so that its silence tells something
+	first     bool // no notice has come yet
+	blind     bool // a line was not understood and may have been a notice: the next one's number tells nothing
+	gaugeless bool // the site has no gauges, which has been said
+	strange   bool // an end of a run not in hand has been logged
+	skipping  bool // the line that comes is too long, and passed over
+	late      bool // nothing has come for as long as a silent kernel is borne
+}
+
 // read takes notices until the connection ends.
 func (l *Link[K]) read(conn net.Conn, up func()) error {
 	in := readbuffer.New(maxLine)
-	booted, first, blind, gaugeless, strange := false, true, false, false, false
+	r := reader[K]{Link: l, first: true}
 	for {
 		b := in.Bytes()
 		end := bytes.IndexByte(b, '\n')
 		if end < 0 {
-			if err := in.Fill(conn); err != nil {
+			if err := r.fill(in, conn); err != nil {
 				return err
 			}
 			continue
 		}
-		var m struct {
-			Action  string    `json:"action"`
-			Pos     int       `json:"pos"`
-			UID     string    `json:"uid"`
-			Code    string    `json:"code"`
-			Took    float64   `json:"wall_ms"`
-			Content []byte    `json:"content"`
-			Echo    string    `json:"echo"`
-			Meters  []float64 `json:"meters"`
-		}
-		err := json.Unmarshal(b[:end], &m)
+		line := b[:end]
 		in.Take(end + 1)
-		if booted {
+		if r.late = false; r.answers {
 			conn.SetReadDeadline(time.Now().Add(silence))
 		}
-		if err != nil {
-			if !blind {
-				l.log.Warn("kernel line passed over", zap.Error(err))
-			}
-			blind = true // it may have been a notice: the next one's number tells nothing
+		if r.skipping {
+			r.skipping = false
+			r.passOver("kernel line passed over", zap.String("why", "too long"))
 			continue
 		}
-		if m.Pos > 0 {
-			fresh, whole := l.follow(m.Pos, first || blind)
-			if !whole {
-				return errors.New("a notice is missing")
-			}
-			first, blind = false, false
-			if !fresh {
-				continue
-			}
+		if err := r.take(line, up); err != nil {
+			return err
 		}
-		switch m.Action {
-		case "BOOTED":
-			if booted {
-				continue
-			}
-			booted = true
-			l.owner.Booted(m.Took/1000, m.Code == "starting")
-			l.mu.Lock()
-			l.sync()
-			l.mu.Unlock()
+	}
+}
+
+// fill reads on. A line that is longer than any that means something is thrown away as it comes; and what came while this
+// process itself stood still is looked for before the kernel is taken for silent.
+func (r *reader[K]) fill(in *readbuffer.Buffer, conn net.Conn) error {
+	err := in.Fill(conn)
+	switch {
+	case errors.Is(err, readbuffer.ErrFull):
+		in.Take(len(in.Bytes()))
+		r.skipping = true
+		return nil
+	case errors.Is(err, os.ErrDeadlineExceeded) && !r.late:
+		r.late = true
+		conn.SetReadDeadline(time.Now().Add(askAgain))
+		return nil
+	}
+	return err
+}
+
+// passOver logs the first line that is not understood.
+func (r *reader[K]) passOver(what string, why zap.Field) {
+	if !r.blind {
+		r.log.Warn(what, why)
+	}
+	r.blind = true
+}
+
+// take acts on one line.
+func (r *reader[K]) take(line []byte, up func()) error {
+	var n notice
+	if err := n.decode(line); err != nil {
+		r.passOver("kernel line passed over", zap.Error(err))
+		return nil
+	}
+	if n.Pos >= 1 {
+		fresh, whole := r.follow(int(n.Pos), r.first || r.blind)
+		if !whole {
+			return errors.New("a notice is missing")
+		}
+		r.first, r.blind = false, false
+		if !fresh {
+			return nil
+		}
+	}
+	switch n.Action {
+	case "BOOTED":
+		if !r.booted {
+			r.booted = true
+			r.owner.Booted(n.Took/1000, n.Code == "starting")
+			r.sync()
 			up()
-		case "INFO":
-			l.inform(m.Echo, m.Meters)
-		case "REAP":
-			var end error
-			switch m.Code {
-			case "fine":
-			case "late":
-				end = &Attempt{Reach: NeverRan, Why: m.Code}
-			case "broken_off":
-				end = &Attempt{Reach: Ran, Stopped: true, Why: m.Code}
-			default:
-				end = &Attempt{Reach: Ran, Why: m.Code}
-			}
-			if end != nil {
-				m.Content = nil // a run that failed has no result
-			}
-			if !l.ended(m.UID, m.Took/1000, m.Content, end) && !strange {
-				strange = true
-				l.log.Warn("end of a run not in hand", zap.String("run", m.UID))
-			}
-		case "EINVAL":
-			if m.Code != "SYSINFO" || !gaugeless {
-				l.log.Warn("kernel did not carry out", zap.String("command", m.Code), zap.String("run", m.UID))
-			}
-			switch m.Code {
-			case "SCHED":
-				// It knows no RPC of this id, lane and body: a repeat may be a genuine one.
-				l.ended(m.UID, 0, nil, &Attempt{Reach: NeverRan, Unknown: true, Why: "not carried out"})
-			case "SYSINFO": // a site without gauges: it marks the order of commands all the same
-				gaugeless = true
-				l.inform("", nil)
-			}
-		case "DMESG":
-		default:
-			if !blind {
-				l.log.Warn("kernel word not known", zap.String("action", m.Action))
-			}
-			blind = true
 		}
+	case "INFO":
+		r.answers = r.inform(n.Echo, n.Meters) || r.answers
+	case "REAP":
+		r.reap(&n)
+	case "EINVAL":
+		r.refused(&n)
+	case "DMESG":
+	default:
+		r.passOver("kernel word not known", zap.String("action", n.Action))
+	}
+	return nil
+}
+
+// reap takes note of the end of a run.
+func (r *reader[K]) reap(n *notice) {
+	var end error
+	switch {
+	case n.Code == "fine" && n.garbled:
+		end = &Attempt{Reach: Ran, Why: "unreadable result"}
+	case n.Code == "fine":
+	case n.Code == "late":
+		end = &Attempt{Reach: NeverRan, Why: n.Code}
+	case n.Code == "broken_off":
+		end = &Attempt{Reach: Ran, Stopped: true, Why: n.Code}
+	default:
+		end = &Attempt{Reach: Ran, Why: n.Code}
+	}
+	if end != nil {
+		n.Content = nil // a run that failed has no result
+	}
+	if !r.ended(n.UID, n.Took/1000, n.Content, end) && !r.strange {
+		r.strange = true
+		r.log.Warn("end of a run not in hand", zap.String("run", n.UID))
+	}
+}
+
+// refused takes note of a command that was not carried out.
+func (r *reader[K]) refused(n *notice) {
+	if n.Code != "SYSINFO" || !r.gaugeless {
+		r.log.Warn("kernel did not carry out", zap.String("command", n.Code), zap.String("run", n.UID))
+	}
+	switch n.Code {
+	case "SCHED":
+		// It knows no RPC of this id, lane and body: a repeat may be a genuine one. What may not run twice is asked for once
+		// only, so that this is no second copy of what has run.
+		r.ended(n.UID, 0, nil, &Attempt{Reach: NeverRan, Unknown: true, Why: "not carried out"})
+	case "SYSINFO": // a site without gauges: it marks the order of commands all the same
+		r.gaugeless = true
+		r.answers = r.inform("", nil) || r.answers
 	}
 }
 
@@ -132,42 +207,105 @@
 	return true, true
 }
 
-// doubt ends the runs in hand, unless their end comes after all: among the lost notices there may have been
-// theirs, and without one a run would count for ever. Called under the lock.
+// doubt is for the runs in hand when notices are lost: among these there may have been their ends. What waits to be asked for
+// again on this connection is not in doubt. Called under the lock.
 func (l *Link[K]) doubt() {
-	var doubtful []string
-	for uid := range l.runs {
-		if !slices.ContainsFunc(l.unread, func(c command) bool { return c.uid == uid }) {
-			doubtful = append(doubtful, uid)
+	waits := map[*task[K]]bool{}
+	for _, c := range l.commands.list {
+		if c.start && c.wrote.IsZero() {
+			waits[c.task] = true
+		}
+	}
+	var doubtful []*task[K]
+	for _, t := range l.runs {
+		if !waits[t] {
+			doubtful = append(doubtful, t)
 		}
 	}
+	l.letGo(doubtful)
+}
+
+// letGo ends runs after a while, unless their end comes after all: without one a run would count for ever.
+func (l *Link[K]) letGo(doubtful []*task[K]) {
+	if len(doubtful) == 0 {
+		return
+	}
 	time.AfterFunc(l.doubtFor, func() {
-		for _, uid := range doubtful {
-			l.ended(uid, 0, nil, &Attempt{Reach: Sent, Why: "end lost"})
+		for _, t := range doubtful {
+			l.mu.Lock()
+			known := l.runs[t.uid] == t
+			if known {
+				l.drop(t)
+			}
+			l.mu.Unlock()
+			if known {
+				l.owner.Ended(t.run, 0, nil, &Attempt{Reach: Sent, Why: "end lost"})
+			}
 		}
 	})
 }
 
+// ended tells the owner of a run's end. The end of what has not been asked for is that of another run, whose name it has now.
 func (l *Link[K]) ended(uid string, took float64, result []byte, err error) (known bool) {
 	l.mu.Lock()
-	run, known := l.runs[uid]
-	if known {
-		delete(l.runs, uid)
-		at, sent := 0, len(l.unread)-l.unsent
-		l.unread = slices.DeleteFunc(l.unread, func(c command) bool {
-			at++
-			if c.uid != uid {
-				return false
-			}
-			if at > sent {
-				l.unsent--
-			}
-			return true
-		})
+	t := l.runs[uid]
+	if known = t != nil && t.asked; known {
+		l.drop(t)
 	}
 	l.mu.Unlock()
 	if known {
-		l.owner.Ended(run, took, result, err)
+		l.owner.Ended(t.run, took, result, err)
 	}
 	return known
 }
+
+// drop forgets a run and all commands for it. Called under the lock.
+func (l *Link[K]) drop(t *task[K]) {
+	delete(l.runs, t.uid)
+	l.commands.remove(func(c *command[K]) bool { return c.task == t })
+}
+
+// sync puts a question before all commands that may have been lost: its answer comes after the notices up to
+// now, and what has ended by them is not sent again. A kernel that does not answer is not waited for without end.
+func (l *Link[K]) sync() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.commands.first(l.commands.question())
+	session := l.session
+	time.AfterFunc(l.syncFor, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if l.session == session && !l.up {
+			l.log.Warn("kernel answers no question")
+			l.rise()
+		}
+	})
+	signal(l.work)
+}
+
+// rise lets commands go out. Called under the lock.
+func (l *Link[K]) rise() {
+	l.up = true
+	l.letGo(l.doubtful)
+	l.doubtful = nil
+	signal(l.work)
+}
+
+// inform takes the answer to a question, and tells whether it is one.
+func (l *Link[K]) inform(echo string, meters []float64) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.commands.answered(echo, l.lossSpan) {
+		return false
+	}
+	l.meters, l.measured = meters, time.Now()
+	if l.handover == handedOver && l.commands.asked() == nil {
+		l.commands.readAll()
+		signal(l.parted)
+	}
+	if !l.up {
+		l.rise()
+	}
+	signal(l.informed)
+	return true
+}
