gate: failing test of a system clock that is set back

Example_clockSet: the clock goes back by an hour, and the module's time stands still for that hour: what is held or runs is not answered when its time is over (b: at +3611 s instead of 4 s after it came), and all that comes is turned away as overdue. go test ./gate -run clockSet.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -609,3 +609,47 @@
 	// 1e+12 1e-09 true true true true true
 	// 204.80 read: run
 }
+
+// The system's clock goes back by an hour, and later forward by two: what is held is answered when its time is over, what
+// comes then is served, and tokens are known by when their tries came.
+func Example_clockSet() {
+	s := open(1, 1000)
+	s.arrive("a1", write, "t")
+	s.pass(0.1)
+	s.report("a1", rpc.OK, "done")
+	s.arrive("busy", read, "")
+	s.arrive("b", read, "")
+	s.now -= 3600
+	s.pass(4.1)
+	s.report("busy", rpc.OK, "1")
+	s.arrive("c", read, "")
+	s.report("c", rpc.OK, "2")
+	s.arrive("a2", write, "t")
+	s.pass(7)
+	s.arrive("a3", write, "t") // its window of ten seconds is over
+	s.now += 7200
+	s.pass(0.1)
+	s.arrive("d", read, "")
+	s.report("a3", rpc.OK, "3")
+	s.report("d", rpc.OK, "4")
+	s.Leave(s.now, s.now+2)
+	s.arrive("e", read, "")
+	s.pass(2)
+	// Output:
+	//   0.00 a1: run
+	//   0.10 a1: ok "done"
+	//   0.10 busy: run
+	// -3598.66 busy: pushed back
+	// -3598.66 busy: pause
+	// -3598.66 b: pushed back
+	// -3595.80 c: run
+	// -3595.80 c: ok "2"
+	// -3595.80 a2: ok "done"
+	// -3588.80 a3: run
+	// 3611.22 a3: aborted
+	// 3611.30 d: run
+	// 3611.30 d: ok "4"
+	// 3611.30 e: run
+	// 3612.78 e: pushed back
+	// 3612.78 e: pause
+}
