kernel: failing test of a run given up before its command went out; the order of stops

Example_givenUpBefore: SCHED and PREEMPT of an RPC that is over go out once the link is up, and its place stays taken until then. Example_stopLost passes: SCHED and PREEMPT are sent again in their order, a stop alone for what must not run twice.

--- a/internal/kernel/fault_test.go
+++ b/internal/kernel/fault_test.go
@@ -282,6 +282,72 @@
 	// ended: <nil>
 }
 
+// What is given up before its command went out, here as the kernel is not up yet, is never asked for.
+func Example_givenUpBefore() {
+	c := start()
+	c.accept()
+	c.Run("A", "a", "look", nil, true)
+	c.Run("B", "b", "pay", nil, false)
+	c.Pause("a")
+	c.owner(1)
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.hear(2)
+	c.owner(1)
+	c.Pause("b")
+	c.hear(1)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// A ended after 0: "", run given up (never started)
+	// booted 0.01 ago, cold false
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"pay","content":""} <nil>
+	// < {"action":"PREEMPT","uid":"b"} <nil>
+	// ended: <nil>
+}
+
+// A run is stopped and the link breaks: both commands are sent again in their order, unless its end is among the notices.
+func Example_stopLost() {
+	c := start()
+	c.boot()
+	c.Run("A", "a", "look", nil, true)
+	c.Run("B", "b", "look", nil, true)
+	c.Run("C", "c", "pay", nil, false)
+	for _, uid := range []string{"a", "b", "c"} {
+		c.Pause(uid)
+	}
+	c.hear(6)
+	c.conn.Close()
+	c.boot(`{"action":"REAP","pos":1,"uid":"a","code":"broken_off","wall_ms":5}`)
+	c.owner(1)
+	c.hear(3)
+	c.say(`{"action":"REAP","pos":2,"uid":"c","code":"broken_off","wall_ms":5}`,
+		`{"action":"REAP","pos":3,"uid":"b","code":"broken_off","wall_ms":5}`)
+	c.owner(2)
+	c.quiet()
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"SCHED","uid":"c","lane":"pay","content":""} <nil>
+	// < {"action":"PREEMPT","uid":"a"} <nil>
+	// < {"action":"PREEMPT","uid":"b"} <nil>
+	// < {"action":"PREEMPT","uid":"c"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// booted 0.01 ago, cold false
+	// A ended after 0.005: "", run broken_off (started)
+	// < {"action":"SCHED","uid":"b","lane":"look","content":""} <nil>
+	// < {"action":"PREEMPT","uid":"b"} <nil>
+	// < {"action":"PREEMPT","uid":"c"} <nil>
+	// C ended after 0.005: "", run broken_off (started)
+	// B ended after 0.005: "", run broken_off (started)
+	// ended: <nil>
+}
+
 // The time for the first answer is that of its own connection: once that has ended, nothing is sent on the next before the
 // kernel says that it is up.
 func Example_unansweredBefore() {
