kernel: what is given up before its command went out is never asked for

Cause: Pause put PREEMPT behind a SCHED that still waited for the link: both went out, seconds later, for an RPC that was over, and until their end came the run's place was taken. Change: a run of which nothing has been written is dropped by Pause, and ends as never started.

--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -113,13 +113,21 @@
 	return nil
 }
 
-// Pause stops a run, in the way of the site.
+// Pause stops a run, in the way of the site. What has not been asked for yet never is.
 func (l *Link[K]) Pause(uid string) {
 	line, _ := encode(preempt{"PREEMPT", uid})
 	l.mu.Lock()
-	defer l.mu.Unlock()
-	if t := l.runs[uid]; t != nil {
+	t := l.runs[uid]
+	begun := t != nil && t.asked
+	switch {
+	case begun:
 		l.push(command[K]{task: t, line: line})
+	case t != nil:
+		l.drop(t)
+	}
+	l.mu.Unlock()
+	if t != nil && !begun {
+		l.owner.Ended(t.run, 0, nil, &Attempt{Reach: NeverRan, Why: "given up"})
 	}
 }
 
