--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,7 +4,6 @@
 package gate
 
 import (
-	"context"
 	"hash/maphash"
 	"math"
 	"sync"
@@ -13,33 +12,12 @@
 	"valveglade/rpc"
 )
 
-// Do is what is to be done for an RPC.
-type Do uint8
-
-const (
-	Run Do = iota + 1
-	Pause
-	Serve    // answer with the result
-	PushBack // answer that it never ran
-	Abort    // answer without a promise
-)
-
 // ID names an RPC in hand. An index comes back for another RPC, its life never does.
 type ID struct {
 	i    int
 	life uint32
 }
 
-// Job is one thing to do; For is what came with the RPC.
-type Job[T any] struct {
-	Do     Do
-	RPC    ID
-	For    T
-	Result []byte
-	Last   bool    // with PushBack: no other app server is to be tried
-	After  float64 // with PushBack: seconds to stay away, 0 for no advice
-}
-
 // state is where an RPC stands with its caller; only move changes it.
 type state uint8
 
@@ -65,18 +43,6 @@
 	runs   bool // it holds a permit
 }
 
-// Permits are what common limits of several app servers leave to this one. They are asked under the gate's lock, and call
-// nothing of it; a method's index is the config's.
-type Permits interface {
-	// Short tells which limit keeps RPCs of a method from being started now, from 1; 0 if none does.
-	Short(method int) int
-	// Waits takes in one more RPC that waits to be started, or with -1 one less.
-	Waits(method, n int, criticality float64)
-	// Began and Over take in that one was started, and that its run has ended after so many seconds; 0 where it never ran.
-	Began(method int, criticality float64)
-	Over(method int, criticality, took float64)
-}
-
 // Gate is safe for use by many goroutines. No method but Pick blocks.
 type Gate[T any] struct {
 	mu       sync.Mutex
@@ -105,69 +71,6 @@
 	permits  Permits // nil where there are no common limits
 }
 
-// Under has the gate start nothing without permits. It is called before anything arrives.
-func (g *Gate[T]) Under(p Permits) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.permits = p
-}
-
-// wait tells the permits of an RPC that may have to wait; unwait, that it waits no longer.
-func (g *Gate[T]) wait(i int) {
-	if s := &g.slots[i]; g.permits != nil {
-		s.waits = true
-		g.permits.Waits(s.method, 1, (*actions[T])(g).criticality(i))
-	}
-}
-
-func (g *Gate[T]) unwait(i int) {
-	if s := &g.slots[i]; s.waits {
-		s.waits = false
-		g.permits.Waits(s.method, -1, (*actions[T])(g).criticality(i))
-	}
-}
-
-// over gives back an RPC's permit.
-func (g *Gate[T]) over(i int, took float64) {
-	if s := &g.slots[i]; s.runs {
-		if s.runs = false; g.permits != nil {
-			g.permits.Over(s.method, (*actions[T])(g).criticality(i), took)
-		}
-	}
-}
-
-// caller is what is kept by its index: the number it goes by, its RPCs in hand, when it last sent one.
-type caller struct {
-	number, out int
-	heard       float64
-}
-
-// maxCallers bounds what new numbers can take, as routers that restart come under others: many times the
-// routers that there are at once. Past it the one longest unheard that has nothing here makes room.
-const maxCallers = 1 << 10
-
-// caller gives the index of a caller. While all known ones are busy, newcomers count as one.
-func (g *Gate[T]) caller(number int, now float64) int {
-	from, ok := g.callers[number]
-	switch {
-	case ok:
-	case len(g.known) < maxCallers:
-		from = len(g.known)
-		g.known = append(g.known, caller{})
-	default:
-		from = maxCallers - 1
-		for k, c := range g.known {
-			if c.out == 0 && (g.known[from].out > 0 || c.heard < g.known[from].heard) {
-				from = k
-			}
-		}
-		delete(g.callers, g.known[from].number)
-	}
-	g.callers[number] = from
-	g.known[from].number, g.known[from].heard = number, now
-	return from
-}
-
 // New starts a gate; keep bounds the bytes of kept results.
 func New[T any](now float64, c rpc.Settings, keep int) *Gate[T] {
 	boundTokens(&c.Machine, keep)
@@ -394,73 +297,6 @@
 	g.settle()
 }
 
-// Pick blocks until there is something to do for an RPC. Jobs come in the order in which they were decided.
-func (g *Gate[T]) Pick(ctx context.Context) (Job[T], error) {
-	for {
-		g.mu.Lock()
-		if len(g.jobs) > 0 {
-			job := g.jobs[0]
-			g.jobs[0] = Job[T]{}
-			if g.jobs = g.jobs[1:]; len(g.jobs) > 0 {
-				signal(g.ready)
-			}
-			g.mu.Unlock()
-			return job, nil
-		}
-		g.jobs = nil
-		g.mu.Unlock()
-		select {
-		case <-ctx.Done():
-			return Job[T]{}, ctx.Err()
-		case <-g.ready:
-		}
-	}
-}
-
-// Credit is what goes out with every answer; below 0 there is none.
-func (g *Gate[T]) Credit() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.credit
-}
-
-// Healthy is the answer to health checks.
-func (g *Gate[T]) Healthy() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.healthy
-}
-
-// Changed holds a value after the health, the time for idle connections or the notes have changed.
-func (g *Gate[T]) Changed() <-chan struct{} { return g.changed }
-
-// Idle is after how many seconds idle connections are closed, 0 for never.
-func (g *Gate[T]) Idle() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.reap
-}
-
-// Notes are the module's remarks since the last call.
-func (g *Gate[T]) Notes() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	notes := g.notes
-	g.notes = nil
-	return notes
-}
-
-// answer gives the one answer that an RPC gets.
-func (g *Gate[T]) answer(i int, job Job[T]) {
-	s := &g.slots[i]
-	if s.state != owed {
-		return
-	}
-	job.RPC, job.For = ID{i, s.life}, s.who
-	g.jobs = append(g.jobs, job)
-	g.move(i, done)
-}
-
 func (g *Gate[T]) move(i int, to state) {
 	s := &g.slots[i]
 	s.state = to
