--- a/gate/gate.go
+++ b/gate/gate.go
@@ -48,9 +48,7 @@
 	mu       sync.Mutex
 	settings rpc.Settings
 	module   *logic.Module
-	now      float64 // the module's, which never goes back
-	shift    float64 // the module's time less the system's, which may be set back
-	looked   float64 // the system's time at the last Tick
+	now      float64
 	slots    []slot[T]
 	spare    []int
 	uids     map[string]struct{}
@@ -94,9 +92,9 @@
 	g.booted = true
 	g.settings.Machine.Cold = cold
 	if len(g.slots) == 0 {
-		g.module = logic.New(at+g.shift, g.settings, (*actions[T])(g))
+		g.module = logic.New(at, g.settings, (*actions[T])(g))
 	} else {
-		g.module.Boot(g.clock(now), at+g.shift, cold)
+		g.module.Boot(g.clock(now), at, cold)
 	}
 	return true
 }
@@ -108,21 +106,11 @@
 	return g.booted
 }
 
-// clock gives the module's time, which never goes back, whatever the system's does.
 func (g *Gate[T]) clock(now float64) float64 {
-	g.now = max(g.now, now+g.shift)
+	g.now = max(g.now, now) // the module's time never goes back, whatever the system's does
 	return g.now
 }
 
-// look finds a system clock that was set back, by two looks that were taken one after the other: what others have read of the
-// clock before they come to their turn here may just be old.
-func (g *Gate[T]) look(now float64) {
-	if now < g.looked {
-		g.shift += g.looked - now
-	}
-	g.looked = now
-}
-
 // Arrive takes in an RPC that has been read: recv is when it came to the machine, due when its caller gives
 // up; again marks a further try, which counts only where the config says that callers mark them. It is not
 // taken, and the module does not hear of it, if its uid is in hand or its token is known to belong to another
@@ -131,10 +119,7 @@
 	body []byte, who T) (id ID, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now, recv = g.clock(now), recv+g.shift
-	if due > 0 { // else it is not told
-		due += g.shift
-	}
+	now = g.clock(now)
 	if _, taken := g.uids[uid]; taken {
 		return ID{}, false
 	}
@@ -182,7 +167,7 @@
 func (g *Gate[T]) Knows(method int, token string, recv float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.tokens.find(tokenID{method, token}, recv+g.shift) != nil
+	return g.tokens.find(tokenID{method, token}, recv) != nil
 }
 
 // Keep bounds the bytes of kept results anew; the oldest past it go at once, and their repeats are aborted, never run.
@@ -281,7 +266,6 @@
 func (g *Gate[T]) Tick(now float64, gauges []float64) (after float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.look(now)
 	now = g.clock(now)
 	g.tokens.expire(now)
 	g.module.Tick(now, gauges)
@@ -293,7 +277,7 @@
 func (g *Gate[T]) Leave(now, at float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.module.Leave(g.clock(now), at+g.shift)
+	g.module.Leave(g.clock(now), at)
 	g.settle()
 }
 
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -322,9 +322,9 @@
 	s.arrive("e", read, "")
 	s.pass(2)
 	// Output:
-	//  0.00 a1: run
-	//  0.10 a1: ok "done"
-	//  0.10 busy: run
+	//   0.00 a1: run
+	//   0.10 a1: ok "done"
+	//   0.10 busy: run
 	// -3598.66 busy: pushed back
 	// -3598.66 busy: pause
 	// -3598.66 b: pushed back
