gate: failing test of a repeat that is read after its token's next use

Example_readLate: the token's window is over and it comes again, before a try that came to the machine within the window is read. That try takes the later one's place, or runs once the later one is given up or the kernel has told it apart: a second run within the window (a3, came 0.9 s after a1 that ran, window 1 s).

--- a/gate/tokens_test.go
+++ b/gate/tokens_test.go
@@ -320,3 +320,46 @@
 	// 1e+12 1e-09 true true true true true
 	// 204.80 read: run
 }
+
+// A window is over and the token comes again, but what it came with within the window is read only now: this neither takes
+// the place of the later one, nor runs once that is given up or was told apart by the kernel.
+func Example_readLate() {
+	s := openTold(1, 1000, func(c *rpc.Settings) { c.Methods[write].Window = 1 })
+	s.arrive("a1", write, "t")
+	s.report("a1", rpc.OK, "first")
+	s.pass(1.5)
+	s.arrive("busy", read, "")
+	s.arrive("b1", write, "t") // held
+	s.came("a2", write, s.now-1, "t", "body")
+	s.gone("b1")
+	s.came("a3", write, s.now-0.6, "t", "body")
+	s.report("busy", rpc.OK, "")
+	s.arrive("b2", write, "t")
+	s.came("a4", write, s.now-1, "t", "body")
+	s.report("b2", rpc.Moot, "")
+	s.came("a5", write, s.now-1, "t", "body")
+	s.arrive("b3", write, "t")
+	s.report("b3", rpc.OK, "second")
+	s.came("a6", write, s.now-1, "t", "body")
+	s.arrive("b4", write, "t")
+	fmt.Println(len(s.tokens.expiry), s.tokens.bytes)
+	s.pass(1 + unread + 0.1)
+	fmt.Println(len(s.tokens.expiry), len(s.tokens.entries), s.tokens.bytes)
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "first"
+	//  1.50 busy: run
+	//  1.50 a2: ok "first"
+	//  1.50 a3: ok "first"
+	//  1.50 busy: ok ""
+	//  1.50 b2: run
+	//  1.50 a4: ok "first"
+	//  1.50 b2: aborted
+	//  1.50 a5: ok "first"
+	//  1.50 b3: run
+	//  1.50 b3: ok "second"
+	//  1.50 a6: ok "first"
+	//  1.50 b4: ok "second"
+	// 2 11
+	// 0 0 0
+}
