gate: a token's earlier use stays known while its repeats may lie unread

Cause: table.remember dropped the entry of a use that had run as soon as its window was over and the token came again (gate/tokens.go). Repeats count by when they came to the machine and are read up to seconds later, in any order over connections: one of the first use then met the second's entry, took its place where that was held, or ran beside or after it.

Change: an entry keeps the one before it until that expires on its own (prior); find goes by recv through the uses; what is forgotten gives way to the use before it. Followers of what never ran look by their own recv.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -34,6 +34,7 @@
 	uid   string // its name outside, given to one RPC in hand at a time
 	token string
 	body  uint64  // digest of it
+	recv  float64 // when it came to the machine
 	from  int     // its caller's index
 	ahead float64 // by how much recv lies ahead of the clock
 	entry *entry  // under which the module knows its token
@@ -141,7 +142,7 @@
 	i := g.spare[len(g.spare)-1]
 	g.spare = g.spare[:len(g.spare)-1]
 	s := &g.slots[i]
-	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, from: from,
+	*s = slot[T]{life: s.life + 1, who: who, uid: uid, token: token, body: digest, recv: recv, from: from,
 		ahead: max(recv-now, 0), method: method}
 	g.move(i, owed)
 	if method < len(g.settings.Methods) {
@@ -241,7 +242,7 @@
 		case e.state == kept && e.body == s.body:
 			g.end(i, rpc.OK, 0, e.result)
 		case e.state == forgotten: // it never ran: the next may
-			if s.entry = g.tokens.entries[tokenID{s.method, s.token}]; s.entry != nil {
+			if s.entry = g.tokens.find(tokenID{s.method, s.token}, s.recv); s.entry != nil {
 				(*actions[T])(g).Follow(i)
 			} else {
 				g.end(i, rpc.Moot, 0, nil)
--- a/gate/tokens.go
+++ b/gate/tokens.go
@@ -53,6 +53,7 @@
 	result    []byte
 	stored    *list.Element // among the table's results, nil if it is not there
 	followers []int
+	prior     *entry // the token's use before this one, which ran, while a repeat of it may still lie unread
 }
 
 // noPlace is of an entry that is not in the expiry queue: its window is over and its outcome still to come, or it has been
@@ -102,7 +103,7 @@
 // table remembers tokens for as long as the module says. It keeps them a little longer, as a repeat counts
 // by when it came to the machine, not by when it is read.
 type table struct {
-	entries map[tokenID]*entry
+	entries map[tokenID]*entry // the latest use of each
 	expiry  expiryQueue
 	results *list.List // of entries with a result, the first to be kept first
 	bytes   int
@@ -122,7 +123,14 @@
 // find gives the entry that was live when the repeat came to the machine. One whose outcome is still to come lives on past
 // its window: windows may be shorter than RPCs are held and run, and the repeat would run beside what it repeats.
 func (t *table) find(id tokenID, recv float64) *entry {
-	if e := t.entries[id]; e != nil && (recv <= e.end || e.inHand()) {
+	e := t.entries[id]
+	if e == nil {
+		return nil
+	}
+	for e.prior != nil && recv <= e.prior.end {
+		e = e.prior
+	}
+	if recv <= e.end || e.inHand() {
 		return e
 	}
 	return nil
@@ -136,10 +144,7 @@
 		t.list(old)
 		return old
 	}
-	if old != nil {
-		t.drop(old)
-	}
-	e := &entry{id: id, body: body, runner: runner, end: end, place: noPlace}
+	e := &entry{id: id, body: body, runner: runner, end: end, place: noPlace, prior: old}
 	t.entries[id] = e
 	t.list(e)
 	return e
@@ -156,9 +161,7 @@
 
 // forget gives those that waited for what has never run.
 func (t *table) forget(e *entry) []int {
-	if t.entries[e.id] == e {
-		delete(t.entries, e.id)
-	}
+	t.unlink(e)
 	t.drop(e)
 	e.state = forgotten
 	followers := e.followers
@@ -166,6 +169,25 @@
 	return followers
 }
 
+// unlink takes an entry out of its token's uses.
+func (t *table) unlink(e *entry) {
+	last := t.entries[e.id]
+	switch {
+	case last != e:
+		for last != nil && last.prior != e {
+			last = last.prior
+		}
+		if last != nil {
+			last.prior = e.prior
+		}
+	case e.prior != nil:
+		t.entries[e.id] = e.prior
+	default:
+		delete(t.entries, e.id)
+	}
+	e.prior = nil
+}
+
 // drop takes an entry's result and its place in the expiry queue.
 func (t *table) drop(e *entry) {
 	t.dropResult(e)
