Extremes of settings: targets far below a look, unlimited memory, garbage gauges, long rests

A target counts as at least six looks (0.12 s) now. - margin (0.04 s) was taken from every due time: where the deadline is shorter, all was given up at once. It is at most half of what is left. - checkHealth called work hung after two of the tightest targets, although cores were free or runs take longer: ill for each run, two log lines each. Now: no more may be started, and nothing ended well for two targets, six usual runs and 2 s. - adjust took any gauge: NaN or +Inf stayed in limit and overhead for ever. What is no count is passed over. - coldPool divided two sums that fade: 0/0 after 36 minutes at rest. Goldens: Example_growsCold (the measured N falls back to 1 at rest), gate Example_boot and Example_leave (a cold credit before the machine is up also where no ramp is set): each is told less than before.

--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -317,7 +317,7 @@
 	s.report("a1", rpc.OK, "done")
 	// Output:
 	//  0.00 a1: run
-	// healthy false credit 2
+	// healthy false credit 0.75
 	//  0.98 a1: aborted
 	//  0.98 a2: aborted
 	//  0.98 b: pushed back
@@ -346,10 +346,10 @@
 	early.report("b", rpc.OK, "1")
 	fmt.Println("credit", early.Credit())
 	// Output:
-	// booted false credit 2
+	// booted false credit 0.75
 	//  0.00 a: run
 	//  0.00 a: ok "1"
-	// booted true credit 2
+	// booted true credit 0.75
 	//  0.00 b: run
 	// credit 0.75
 	// credit 0.75
--- a/logic/calls.go
+++ b/logic/calls.go
@@ -94,7 +94,7 @@
 // goWithout has an RPC go on without its call where its answer is still worth something, or gives it up.
 func (m *Module) goWithout(i int) {
 	w := &m.rpcs[i]
-	if m.skips(w) == 0 || m.now > w.due-margin || m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0 {
+	if m.skips(w) == 0 || m.now > w.due || m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0 {
 		m.giveUp(i)
 		return
 	}
@@ -142,7 +142,7 @@
 	}
 	if w.extra {
 		w.extra = false
-		m.extras[len(m.extras)-1][1] = w.dialed + took
+		m.extras = append(m.extras[:max(len(m.extras)-1, 0)], [2]float64{w.dialed, w.dialed + took})
 		_, part := math.Modf(m.Machine.CallsOut)
 		m.nextCall = m.now + took*(1/part-1) // evenly, else the first of a span leave nothing for the last
 	}
--- a/logic/health.go
+++ b/logic/health.go
@@ -12,7 +12,9 @@
 // whole loses nothing by an empty list. It could harm where most RPCs take longer; the first to end well
 // takes it back.
 func (m *Module) checkHealth() {
-	stuck := m.count[running]+m.count[orphaned] > 0 && m.now-m.well > 12*m.dt
+	taken := float64(m.count[running]+m.count[orphaned]+m.off()+1) > m.limit
+	usual := m.ranFor / max(m.ran, 1e-9) // of late, 0 long after the last run
+	stuck := taken && m.now-m.well > max(12*m.dt, 6*usual, span)
 	if stuck != m.stuck && !m.leaving {
 		m.stuck = stuck
 		m.do.Health(!stuck)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -9,6 +9,7 @@
 package logic
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -29,14 +30,13 @@
 	callers             []caller
 	records             []record
 	tenants             []float64 // RPCs of each over the last ten seconds or so
-	halved              float64
-	arrived, refused    float64 // of late
-	further             float64
-	walked              float64 // how old what is refused has been, which others read as further tries
-	dt, threshold       float64 // d_t, and the delay past which arrivals are refused
+	arrived, refused    float64   // of late
+	further             float64   // likewise
+	walked              float64   // how old what is refused has been, which others read as further tries
+	dt, threshold       float64   // d_t, and the delay past which arrivals are refused
 	pool, credit, said  float64
 	full                bool // some caller had its full credit out since the last update
-	updated             float64
+	updated, halved     float64
 	gaps                hist         // for which callers have nothing here between two RPCs
 	reap                float64      // idle connections are closed after it, 0 for never
 	ran, ranFor         float64      // runs that ended ok of late, and their seconds
@@ -50,32 +50,29 @@
 	callTook            hist
 	callBest            float64 // the best median of late
 	well                float64 // when a run last ended well, or the first one began
-	stuck               bool
-	leaving             bool
+	stuck, leaving      bool
 	noticed, stop       float64
 }
 
-// tick is the time between looks at dues, gauges and the pool: far below any latency target, and 50 a second
-// cost next to nothing. margin is kept before a due time: two looks, should one be late.
-const tick, margin = 0.02, 2 * 0.02
+// tick is the time between looks at dues, gauges and the pool: 50 a second cost next to nothing. margin is
+// kept before a due time: two looks, should one be late. Targets under leastTarget cannot be steered by them.
+const tick, margin, leastTarget = 0.02, 2 * tick, 6 * tick
 
 // New starts the module of an app server that has just come up. What the config lacks, or has at zero, gets
 // the mildest meaning that keeps the rules.
 func New(now float64, c rpc.Settings, do rpc.Actions) *Module {
-	m := &Module{Settings: c, do: do, now: now, started: now, updated: now, halved: now}
+	m := &Module{Settings: c, do: do, now: now, started: now, updated: now, halved: now, noticed: math.Inf(1)}
 	m.Machine.Cores = max(c.Machine.Cores, 1)
 	m.Machine.RunFactor = max(c.Machine.RunFactor, 1)
-	m.Rules.Crowd, m.Rules.CrowdSpan = max(c.Rules.Crowd, 1), max(c.Rules.CrowdSpan, 1)
-	if c.Machine.MemoryKB <= 0 {
-		m.Machine.MemoryKB = math.Inf(1)
-	}
+	m.Rules.Crowd, m.Rules.CrowdSpan = max(c.Rules.Crowd, 1), cmp.Or(max(c.Rules.CrowdSpan, 0), 1)
+	m.Machine.Preemption = cmp.Or(c.Machine.Preemption, rpc.Unstoppable)
+	m.Machine.MemoryKB = cmp.Or(max(c.Machine.MemoryKB, 0), math.MaxFloat64) // finite: sums stay numbers
 	if c.Machine.Below != "one_for_all" {
 		m.Machine.CallsOut = math.Inf(1) // no share is set for a tier of app servers
 	} else if c.Machine.CallsOut <= 0 {
 		m.Machine.CallsOut = 1
 	}
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
-	m.ran, m.ranFor = 0.2, 0.2*m.cores()*m.Rules.CrowdSpan // one in a span, till more is known
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
 	m.records = make([]record, len(c.Methods))
 	m.tenants = make([]float64, len(c.Tenants))
@@ -83,12 +80,8 @@
 	tightest := 60.0 // should no method have a latency target
 	for k := range m.Methods {
 		method := &m.Methods[k]
-		if method.Deadline <= 0 {
-			method.Deadline = math.Inf(1)
-		}
-		if method.Target <= 0 {
-			method.Target = method.Deadline
-		}
+		method.Deadline = cmp.Or(max(method.Deadline, 0), math.Inf(1))
+		method.Target = max(cmp.Or(max(method.Target, 0), method.Deadline), leastTarget)
 		tightest = min(tightest, method.Target)
 	}
 	m.dt = tightest / 6                     // a quarter made the incidents worse, an eighth the overload days
@@ -140,6 +133,7 @@
 	if w.told = due > 0; !w.told {
 		w.due = w.arrival + m.Methods[method].Deadline
 	}
+	w.due -= min(margin, (w.due-now)/2)
 	if m.leaving {
 		w.due = min(w.due, m.stop)
 	}
@@ -153,7 +147,7 @@
 	m.full = m.full || float64(m.callers[from].out) >= m.credit
 	pastGrace := m.leaving && w.arrival > m.noticed+m.Rules.Grace // rule 3: it is not run
 	switch {
-	case repeats != rpc.None && (pastGrace || now > w.due-margin || !w.reads && m.memory() > m.room()):
+	case repeats != rpc.None && (pastGrace || now > w.due || !w.reads && m.memory() > m.room()):
 		m.do.Abort(i) // the RPC that it repeats may have been run, so this is no refusal
 		m.move(i, absent)
 	case repeats >= 0 && m.rpcs[repeats].state == queued && !w.reads:
@@ -165,7 +159,7 @@
 			m.rpcs[repeats].wanted = max(m.rpcs[repeats].wanted, m.goodUntil(w))
 		}
 		m.move(i, following)
-	case pastGrace, now > w.due-margin, m.hopeless(w), w.kb*m.Machine.RunFactor > m.room(),
+	case pastGrace, now > w.due, m.hopeless(w), w.kb*m.Machine.RunFactor > m.room(),
 		m.Methods[method].Kind == rpc.Tokened && m.keyKB() > m.room()/2: // the other half is for work
 		m.giveUp(i)
 	default:
@@ -233,7 +227,7 @@
 // should the cores stand still for a moment then.
 func (m *Module) Leave(now, at float64) {
 	m.now = now
-	m.leaving, m.noticed, m.stop = true, now, max(now, at-0.5)
+	m.leaving, m.noticed, m.stop = true, min(m.noticed, now), max(now, at-0.5)-margin
 	for i := range m.rpcs {
 		m.rpcs[i].due = min(m.rpcs[i].due, m.stop)
 	}
@@ -252,7 +246,7 @@
 	}
 	m.sweep()
 	m.adjust(gauges)
-	if now-m.updated >= m.dt { // a round trip is about as long as the delay that is steered
+	if now-m.updated >= min(m.dt, 1) { // a round trip is about as long as the delay that is steered
 		m.update()
 		m.checkHealth()
 		m.tidy()
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -829,25 +829,11 @@
 	//   0.00 start 1
 	//   0.00 start 2
 	//   0.22 credit 0.3
-	//   0.44 credit 0.3
 	//   0.46 start 3
 	//   0.50 start 4
 	//   0.66 credit 1.1
-	//   0.88 credit 1.1
 	//   1.10 credit 2.8
-	//   1.32 credit 2.8
-	//   1.54 credit 2.8
-	//   1.76 credit 2.8
-	//   1.98 credit 2.8
-	//   2.20 credit 2.8
-	//   2.42 credit 2.8
-	//   2.64 credit 2.8
-	//   2.86 credit 2.8
-	//   3.08 credit 2.8
-	//   3.30 credit 2.8
-	//   3.52 credit 2.8
-	//   3.74 credit 2.8
-	//   3.96 credit 2.8
+	//   2.20 credit 2.2
 	//   4.18 credit 4.0
 	//   4.50 start 5
 	//   4.50 start 6
--- a/logic/pool.go
+++ b/logic/pool.go
@@ -21,9 +21,6 @@
 	} else if m.full {
 		m.pool += max(alpha*heard, 1)
 	}
-	// What runs at once, and half as much queued for the gaps, is bearable whatever the delay says: below that
-	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it more.
-	m.pool = max(m.pool, 1.5*m.limit)
 	m.full = false
 	m.publish()
 	if d <= m.threshold {
@@ -52,18 +49,25 @@
 // coldPool bounds what all callers, those too that may yet come, have out while cold: as what ends lets in
 // the next, a span sees it beside the N runs that end, and past N only 2*sqrt(N)+2 are borne.
 func (m *Module) coldPool() float64 {
-	n := m.limit * m.Rules.CrowdSpan * m.ran / m.ranFor
+	const prior = 0.2 // of a run that takes all cores for a span, till more is known
+	full := m.cores() * m.Rules.CrowdSpan
+	n := full * (m.ran + prior) / (m.ranFor + prior*full)
 	return min(1+n/2, 2+2*math.Sqrt(n))
 }
 
 // publish says the free credit, which goes out with every answer, in the terms of the site's signal: as it
 // is, or as the share of what is in hand that the pool covers. One that leaves wants nothing past the grace.
 func (m *Module) publish() {
+	// What runs at once, and half as much queued for the gaps, is bearable whatever the delay says: below that
+	// callers decline RPCs while cores idle. Once the limit costs an overload day 0.03, three times it more.
+	m.pool = max(m.pool, 1.5*m.limit)
 	inHand := float64(m.count[queued] + m.count[running] + m.count[paused] + m.count[calling])
 	cover := min(1, m.pool/max(inHand, 1))
 	m.credit = max(1, math.Ceil(m.pool/m.heard()))
-	if m.warmth() < 1 {
-		m.credit = min(m.pool, m.coldPool()) / max(m.heard(), float64(m.Machine.Callers))
+	if m.Machine.Cold && m.now-m.started < max(m.Rules.WarmIn, m.Rules.CrowdSpan) {
+		bound := min(m.pool, m.coldPool())
+		m.credit = bound / max(m.heard(), float64(m.Machine.Callers))
+		cover = min(1, bound/max(inHand, 1)) * m.warmth()
 	}
 	if m.leaving && m.now >= min(m.noticed+m.Rules.Grace, m.stop) {
 		m.credit, cover = 0, 0
--- a/logic/queue.go
+++ b/logic/queue.go
@@ -59,7 +59,7 @@
 
 // goodUntil is when an answer stops being worth its full criticality.
 func (m *Module) goodUntil(w *work) float64 {
-	return min(max(w.asked+m.Methods[w.method].Target, w.wanted), w.due-margin)
+	return min(max(w.asked+m.Methods[w.method].Target, w.wanted), w.due)
 }
 
 // hopeless tells whether a queued RPC would come too late even if it were started now. While half the cores
@@ -144,7 +144,7 @@
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
 		lost := w.state.owed() && m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0
-		if w.state.owed() && (m.now > w.due-margin || w.state == queued && m.hopeless(w) ||
+		if w.state.owed() && (m.now > w.due || w.state == queued && m.hopeless(w) ||
 			lost && (w.state == paused || w.state == calling || w.state == running &&
 				m.oldest(0) >= 0 && m.Machine.Preemption != rpc.Unstoppable)) {
 			m.giveUp(i)
--- a/logic/running.go
+++ b/logic/running.go
@@ -60,8 +60,8 @@
 // core, as more would only slow each other.
 func (m *Module) adjust(gauges []float64) {
 	on := float64(m.count[running] + m.count[orphaned])
-	if m.gauge >= 0 && m.gauge < len(gauges) {
-		on = gauges[m.gauge]
+	if k := m.gauge; k >= 0 && k < len(gauges) && gauges[k] >= 0 && gauges[k] < 1e6 { // else it is no count
+		on = gauges[k]
 	}
 	rise := on - float64(m.count[running]+m.count[orphaned]) - m.overhead
 	m.overhead += max(rise, 0.1*rise) * tick // up within a second, down over ten
