--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,38 +20,35 @@
 // Module decides for one app server.
 type Module struct {
 	rpc.Settings
-	do                  rpc.Actions
-	now, started        float64
-	rpcs                []work
-	count               [states]int
-	queue, waiting      []int // queued RPCs, oldest first; paused ones, longest waiting first
-	kb                  float64
-	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
-	callers             []caller
-	records             []record
-	tenants             []float64 // RPCs of each over the last ten seconds or so
-	arrived, refused    float64   // of late
-	further             float64   // likewise
-	walked              float64   // how old what is refused has been, which others read as further tries
-	dt, threshold       float64   // d_t, and the delay past which arrivals are refused
-	pool, credit, said  float64
-	full                bool // some caller had its full credit out since the last update
-	updated, halved     float64
-	gaps                hist         // for which callers have nothing here between two RPCs
-	reap                float64      // idle connections are closed after it, 0 for never
-	ran, ranFor         float64      // runs that ended ok of late, and their seconds
-	over                float64      // since when the delay has stood past the threshold, 0 if it does not
-	newest              bool         // the queue has stood full for a while
-	limit               float64      // of RPCs on the cores
-	overhead            float64      // what else needs a core, of late: reading, new connections
-	gauge               int          // where that gauge stands, -1 if there is none
-	callLimit, nextCall float64      // calls at a time; when the next past the whole share may start
-	extras              [][2]float64 // from when until when calls past the whole share were out, of late
-	callTook            hist
-	callBest            float64 // the best median of late
-	well                float64 // when a run last ended well, or the first one began
-	stuck, leaving      bool
-	noticed, stop       float64
+	do                   rpc.Actions
+	now, started         float64
+	noticed, stop        float64 // when the notice came, +Inf before, and when all is answered
+	rpcs                 []work
+	count                [states]int
+	queue, waiting       []int // queued RPCs, oldest first; paused ones, longest waiting first
+	kb                   float64
+	keys, lingers        []float64 // ends of remembered tokens, and of abandoned calls
+	callers              []caller
+	records              []record
+	tenants              []float64 // RPCs of each over the last ten seconds or so
+	arrived, refused     float64   // of late
+	further, walked      float64   // of late; how old what is refused has been
+	dt, threshold        float64   // d_t, and the delay past which arrivals are refused
+	pool, credit, said   float64
+	full, stuck, leaving bool // some caller had its full credit out since the last update
+	updated, halved      float64
+	gaps                 hist         // for which callers have nothing here between two RPCs
+	reap                 float64      // idle connections are closed after it, 0 for never
+	ran, ranFor          float64      // runs that ended ok of late, and their seconds
+	over                 float64      // since when the delay has stood past the threshold, 0 if it does not
+	newest               bool         // the queue has stood full for a while
+	limit                float64      // of RPCs on the cores
+	overhead             float64      // what else needs a core, of late: reading, new connections
+	gauge                int          // where that gauge stands, -1 if there is none
+	callLimit, nextCall  float64      // calls at a time; when the next past the whole share may start
+	extras               [][2]float64 // from when until when calls past the whole share were out, of late
+	callTook             hist
+	callBest, well       float64 // the best median of late; when a run last ended well, or the first one began
 }
 
 // tick is the time between looks at dues, gauges and the pool: 50 a second cost next to nothing. margin is
@@ -164,7 +161,9 @@
 		m.giveUp(i)
 	default:
 		m.remember(i)
-		m.pump() // what can be started is not refused, however long it lay unread
+		if m.overhead < m.cores() { // else what reading takes is missing for runs
+			m.pump() // what can be started is not refused, however long it lay unread
+		}
 		m.shed(i)
 	}
 	m.pump()
--- a/logic/tokens.go
+++ b/logic/tokens.go
@@ -24,7 +24,7 @@
 func (m *Module) remember(i int) {
 	w := &m.rpcs[i]
 	method := &m.Methods[w.method]
-	if w.reads && m.keyKB()+m.Machine.EntryKB < m.room()/4 { // the rest is for tokens and work
+	if w.reads && m.keyKB()+m.Machine.EntryKB < 0.75*m.room() { // the rest is for work
 		// Until it should have been answered, and while its answer is fresh after that.
 		w.key = m.now + min(method.Target, w.due-m.now, 60) + m.Machine.Fresh
 		m.keys = append(m.keys, w.key)
