Tests that fail: a long life ends a usual router's connection; no memory is an abort

Example_longLived: RPCs that cannot be run are counted over the whole life of a connection, and at eight it is closed over what has been read, though the kernel proves others on it genuine all the while; RPCs for which there is no memory, which say nothing of their router, count too, and are aborted although they never ran.

--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -262,6 +262,94 @@
 	// served: <nil>
 }
 
+// A usual router's connection lives long: now and then an RPC that cannot be run does not end it, as long as the kernel takes
+// others on it for genuine. What only lacks memory is refused as never run, and says nothing about its router; but what may have
+// run is not refused.
+func Example_longLived() {
+	t := open(nil)
+	r := t.dial()
+	counts := map[string]int{}
+	for seq := 1; seq <= 6*mostOdd; seq += 3 {
+		r.execute(seq, "op", "sing")
+		r.execute(seq + 1)
+		if next(t.runs) == "nothing" {
+			break // the connection has ended
+		}
+		fmt.Fprintf(t.kernel, `{"action":"EINVAL","code":"SCHED","uid":"%016x"}`+"\n", seq+1)
+		r.execute(seq + 2)
+		next(t.runs)
+		t.reap(seq+2, "fine", "served")
+		for range 3 {
+			counts[r.next()]++
+		}
+	}
+	fmt.Println(counts)
+	t.close()
+
+	t = open(func(c *config.Config) { c.Memory = heldShare * 3 * callSize / 2 })
+	r, other := t.dial(), t.dial()
+	r.execute(1, "op", "record", "dedupe", "t")
+	t.asked()
+	for seq := 2; seq <= 2*mostOdd; seq++ {
+		r.execute(seq)
+	}
+	r.hear(2*mostOdd - 1)
+	other.execute(20, "op", "record", "dedupe", "t")
+	other.hear(1)
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	other.execute(21, "op", "record", "dedupe", "t")
+	other.hear(1)
+	t.close()
+	// Output:
+	// map[aborted:32 ok:16]
+	// served: <nil>
+	// kernel: SCHED 1 record body of t
+	// router: 2 pushed back
+	// router: 3 pushed back
+	// router: 4 pushed back
+	// router: 5 pushed back
+	// router: 6 pushed back
+	// router: 7 pushed back
+	// router: 8 pushed back
+	// router: 9 pushed back
+	// router: 10 pushed back
+	// router: 11 pushed back
+	// router: 12 pushed back
+	// router: 13 pushed back
+	// router: 14 pushed back
+	// router: 15 pushed back
+	// router: 16 pushed back
+	// router: 20 aborted
+	// router: 1 ok "one" good 1
+	// router: 21 ok "one" good 1
+	// served: <nil>
+}
+
+// next names the next answer.
+func (r *router) next() string {
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(r.in, head); err != nil {
+		return "the connection ends"
+	}
+	frame := make([]byte, thrift.Length(head)-len(head))
+	io.ReadFull(r.in, frame)
+	var name answerName
+	if err := thrift.DecodeAnswer(frame, &name); err != nil {
+		return err.Error()
+	}
+	return string(name)
+}
+
+// answerName is the kind of an answer.
+type answerName string
+
+func (n *answerName) Served(int32, []byte, float64)            { *n = "ok" }
+func (n *answerName) PushedBack(int32, bool, float64, float64) { *n = "pushed back" }
+func (n *answerName) Aborted(int32, string, float64)           { *n = "aborted" }
+func (n *answerName) Checked(int32, bool, float64)             { *n = "checked" }
+func (n *answerName) Draining()                                { *n = "draining" }
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -582,7 +582,7 @@
 	// served: <nil>
 }
 
-// Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
+// Past the memory for RPCs whose answer is owed the next are refused, until there is room again.
 func Example_memory() {
 	t := open(func(c *config.Config) { c.Memory = heldShare * 3 * callSize / 2 })
 	r := t.dial()
@@ -597,7 +597,7 @@
 	t.close()
 	// Output:
 	// kernel: SCHED 1 look body 1
-	// router: 2 aborted
+	// router: 2 pushed back
 	// router: 1 ok "one" good 1
 	// kernel: SCHED 3 look body 3
 	// served: <nil>
