Count odd RPCs afresh once the kernel knows one; refuse what memory is short for

Cause: conn.unreadable and Server.Ended added to conn.odd, and nothing took away, so the eighth in a connection's life closed it over what had been read (Example_longLived: eight of 48 RPCs, with 16 served between them). What found no memory was unreadable too, so a full process aborted what never ran and then closed the connections of usual routers. Ruled out: to drop the count, as strangers that send what the kernel refutes would take cores' places for ever (Example_strangers); to count by time, as that bounds them no better.

Change: the kernel's word on a run starts the count afresh where it knows the RPC, and adds to it where it does not (EINVAL), as do fields that no usual router sends; a run of which nothing is known does neither. Lack of memory is a refusal with the longest advice that callers heed, or an abort where it repeats a token that is in hand or has run; it is not counted. A token counts in turnsAway only where its method has tokens.

--- a/server/conn.go
+++ b/server/conn.go
@@ -69,12 +69,12 @@
 	gone          chan struct{} // closed once the descriptor has been given back
 	last          int32         // number of the last RPC; the reader's own
 	protocolError error         // what ends the connection; the reader's own
-	odd           atomic.Int32  // RPCs that could not be run
+	odd           atomic.Int32  // RPCs of no usual router since the kernel last knew one, see judge
 }
 
 const (
 	mostOpen  = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
-	mostOdd   = 8                       // RPCs that cannot be run, before whoever sends them has to connect again
+	mostOdd   = 8                       // RPCs of no usual router running, before whoever sends them has to connect again
 	early     = time.Millisecond        // a timer may be early by, as clocks are read one after another
 	stuck     = 10 * time.Second        // a router that does not read for so long has lost its answers
 	whole     = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if c.config.Load().Rules.MayCall(method) {
-		c.refuseUnserved(seq)
+		c.refuse(seq, true) // no app server of this build can call, so no try of it has run either
 		return
 	}
 	if c.press.on.Load() {
@@ -34,16 +34,16 @@
 			return
 		}
 	}
+	token := ""
+	if tokened {
+		token = string(dedupe)
+	}
 	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
 	if c.held.Add(k.size()) > int64(c.config.Load().Memory/heldShare) {
 		c.held.Add(-k.size())
-		c.unreadable(seq, "no memory for it")
+		c.lacksMemory(seq, token, recv)
 		return
 	}
-	token := ""
-	if tokened {
-		token = string(dedupe)
-	}
 	c.mu.Lock()
 	c.open[seq] = k
 	c.mu.Unlock()
@@ -62,7 +62,7 @@
 // has begun is not refused: a repeat of it goes to the gate.
 func (c *conn) turnsAway(seq int32, method int, token []byte, recv float64, size int) bool {
 	e := c.press.effects.Load()
-	if size <= e.Largest && c.press.lets(method) || len(token) > 0 && c.gate.Knows(string(token), recv) {
+	if size <= e.Largest && c.press.lets(method) || c.tokened(method) && len(token) > 0 && c.gate.Knows(string(token), recv) {
 		return false
 	}
 	c.press.refused.Add(1)
@@ -70,11 +70,20 @@
 	return true
 }
 
-// refuseUnserved answers an RPC of a method that may call the layer below, which no app server of this build can. Such a
-// method never runs, so no try of the RPC has been run either.
-func (c *conn) refuseUnserved(seq int32) {
+// lacksMemory answers an RPC for which there is no room: it has not run, unless it repeats one that may have.
+func (c *conn) lacksMemory(seq int32, token string, recv float64) {
+	c.limited.Warn("no memory for an RPC", zap.Stringer("router", c.RemoteAddr()))
+	if token != "" && c.gate.Knows(token, recv) {
+		c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
+		return
+	}
+	c.refuse(seq, false)
+}
+
+// refuse answers an RPC that never ran, with the longest advice that callers heed; last asks that no other app server be tried.
+func (c *conn) refuse(seq int32, last bool) {
 	after := c.config.Load().Rules.LongestAdvice()
-	c.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, true, after, load) })
+	c.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, last, after, load) })
 }
 
 // logUnserved names each method whose RPCs are all refused.
@@ -141,6 +150,16 @@
 	c.odd.Add(1)
 }
 
+// judge takes note of the kernel's word on an RPC of this connection: of what a client had not sent it knows nothing. One that it
+// does know shows a usual router, whose odd RPCs count afresh: its connection may live for as long as it likes.
+func (c *conn) judge(known bool) {
+	if known {
+		c.odd.Store(0)
+	} else {
+		c.odd.Add(1)
+	}
+}
+
 // Interrupt tells that nobody waits for an RPC any more.
 func (c *conn) Interrupt(target int32) {
 	c.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -421,19 +421,20 @@
 // Ended is the kernel's word on a run.
 func (s *Server) Ended(r *run, took float64, result []byte, err error) {
 	how := rpc.OK
-	if attempt := (*kernel.Attempt)(nil); errors.As(err, &attempt) {
+	attempt := (*kernel.Attempt)(nil)
+	if errors.As(err, &attempt) {
 		switch {
 		case attempt.Reach == kernel.NeverRan:
 			how = rpc.Moot
-			if attempt.Unknown {
-				r.conn.odd.Add(1)
-			}
 		case attempt.Stopped:
 			how = rpc.Cancelled
 		default:
 			how = rpc.Error
 		}
 	}
+	if attempt == nil || attempt.Reach != kernel.Sent {
+		r.conn.judge(attempt == nil || !attempt.Unknown)
+	}
 	s.stopPanic(func() error {
 		s.gate.Report(clock(), r.id, how, took, result)
 		return nil
