Read the mark of a further try as rep; figures in decimal alone, with their bounds

Empty ttl and crit were unreadable where absent ones are not.

Change: rep is read, again still is, ours write rep.

--- a/internal/thrift/answers.go
+++ b/internal/thrift/answers.go
@@ -164,7 +164,7 @@
 	put("crit")
 	b = digits(b, crit, 4)
 	if again {
-		put("again")
+		put("rep")
 		b = text(b, "1")
 	}
 	if token != "" {
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 )
 
 // MaxFrame bounds a frame: a body of 2 KiB and its fields many times over, so that what is only too long by
@@ -17,6 +18,14 @@
 // MaxBody is the largest body that may be run.
 const MaxBody = 2 << 10
 
+// Bounds of an RPC's fields. The platform's page has that of heap, in KB, and tokens of 32 bytes; four times that costs nothing.
+// The last time that is written with a year of four digits, in Unix milliseconds, is the last that any clock tells.
+const (
+	mostHeap  = 2000
+	mostToken = 128
+	lastMilli = 253402300799999
+)
+
 const (
 	typeBool   = 2
 	typeI32    = 8
@@ -146,7 +155,8 @@
 }
 
 func (r *reader) execute(seq int32, to Router) error {
-	var op, call, src, recv, ttl, heap, crit, again, dedupe, body []byte
+	var op, call, src, recv, ttl, heap, crit, dedupe, body []byte
+	again := false
 	err := r.fields(func(id int16, kind byte) bool {
 		switch {
 		case id == 2 && kind == typeString:
@@ -171,8 +181,8 @@
 				heap = value
 			case "crit":
 				crit = value
-			case "again":
-				again = value
+			case "rep", "again": // again: of clients of earlier builds
+				again = again || marks(value)
 			case "dedupe":
 				dedupe = value
 			}
@@ -185,7 +195,7 @@
 	from, okSrc := number(src)
 	came, okRecv := number(recv)
 	left, okTTL := number(ttl)
-	if ttl == nil { // the settings say whether routers tell
+	if len(ttl) == 0 { // the settings say whether routers tell
 		left, okTTL = math.Inf(1), true
 	}
 	size, okHeap := number(heap)
@@ -195,26 +205,35 @@
 		to.Unreadable(seq, "op")
 	case !hex16(call):
 		to.Unreadable(seq, "call")
-	case !okSrc || from < 0 || from > math.MaxInt32:
+	case !okSrc || from < 0 || from > math.MaxInt32 || from != math.Trunc(from):
 		to.Unreadable(seq, "src")
-	case !okRecv || came < 0:
+	case !okRecv || came < 0 || came > lastMilli:
 		to.Unreadable(seq, "recv")
 	case !okTTL:
 		to.Unreadable(seq, "ttl")
-	case !okHeap || size <= 0 || size >= 2000:
+	case !okHeap || size <= 0 || size >= mostHeap:
 		to.Unreadable(seq, "heap")
-	case crit != nil && (!okCrit || rank < 0 || rank >= 1):
+	case len(crit) > 0 && (!okCrit || rank < 0 || rank >= 1):
 		to.Unreadable(seq, "crit")
-	case len(dedupe) > 128:
+	case len(dedupe) > mostToken:
 		to.Unreadable(seq, "dedupe")
 	case len(body) > MaxBody:
 		to.Unreadable(seq, "body")
 	default:
-		to.Execute(seq, op, call, int(from), came/1000, left/1000, size, string(again) == "1", dedupe, body)
+		to.Execute(seq, op, call, int(from), came/1000, left/1000, size, again, dedupe, body)
 	}
 	return nil
 }
 
+// marks tells whether the value of a mark sets it.
+func marks(value []byte) bool {
+	switch string(value) {
+	case "", "0", "false":
+		return false
+	}
+	return true
+}
+
 func hex16(b []byte) bool {
 	for _, c := range b {
 		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
@@ -224,10 +243,16 @@
 	return len(b) == 16
 }
 
-// number reads a finite decimal number.
+// number reads a finite decimal number, and none of Go's other forms of one.
 func number(b []byte) (float64, bool) {
+	const decimal = "0123456789+-.eE"
+	for _, c := range b {
+		if strings.IndexByte(decimal, c) < 0 {
+			return 0, false
+		}
+	}
 	v, err := strconv.ParseFloat(string(b), 64)
-	return v, err == nil && !math.IsInf(v, 0) && !math.IsNaN(v)
+	return v, err == nil
 }
 
 // reader takes values off a frame; short tells that one was not all there.
