A drain keeps its rules before the kernel is up and in any stop time; a panic in a duty ends nobody

Cause: gate.Boot starts a new module where nothing had been read, and so forgot the notice: what came past the grace ran. leave() waited for the acceptor without a bound, which newcomers that flood in hold up, and its spans (0.4 s) are longer than a stop of 0.1 s, so that connections were cut off 20 ms after the notice. Ruled out: the kernel link before BOOTED (Example_noticeWithoutKernel), SIGHUP then (cmd/valveglade's Example_main). Change: gate.Boot tells the new module of the notice; the acceptor has until connections are closed, and the listener's close ends it; drainSpans.within leaves half of the stop; keepUp begins a duty again after a panic, what is called back has stopPanic. Result: the tests of drain_test.go pass. Seen once in a run with -race at a load of 27: Example_notAccepting, whose 0.4 s had passed before the test came to its turn; 11 runs alone passed.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -97,6 +97,9 @@
 	credit   float64
 	healthy  bool
 	booted   bool // the machine is up
+	leaving  bool // notice has been given, at noticed, that the process is stopped at stop
+	noticed  float64
+	stop     float64
 	reap     float64
 	wake     float64
 	notes    []string
@@ -189,6 +192,9 @@
 	g.settings.Machine.Cold = cold
 	if len(g.slots) == 0 {
 		g.module = logic.New(at, g.settings, (*actions[T])(g))
+		if g.leaving {
+			g.module.Leave(g.noticed, g.stop)
+		}
 	} else {
 		g.module.Boot(g.clock(now), at, cold)
 	}
@@ -372,7 +378,8 @@
 func (g *Gate[T]) Leave(now, at float64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.module.Leave(g.clock(now), at)
+	g.leaving, g.noticed, g.stop = true, g.clock(now), at
+	g.module.Leave(g.noticed, at)
 	g.settle()
 }
 
--- a/server/conn.go
+++ b/server/conn.go
@@ -102,8 +102,11 @@
 		defer end()
 		in := readbuffer.New(thrift.MaxFrame + 4)
 		err := c.stopPanic(func() error { return c.read(in) })
-		if err != nil {
+		if err != nil && c.stopPanic(func() error {
 			c.fail(err)
+			return nil
+		}) != nil {
+			end()
 		}
 		c.stopPanic(func() error {
 			c.lastLook(in, err == nil || isRefusable(err))
@@ -170,7 +173,10 @@
 	c.open, c.ended = nil, true
 	c.press.owed.Add(-c.owing)
 	c.mu.Unlock()
-	c.giveUp(open)
+	c.stopPanic(func() error {
+		c.giveUp(open)
+		return nil
+	})
 	c.Close() // before its place is free; over what was never read it is a reset
 	c.Server.mu.Lock()
 	delete(c.conns, c)
--- a/server/drain_test.go
+++ b/server/drain_test.go
@@ -61,6 +61,19 @@
 	// served: <nil>
 }
 
+// The time from the notice to the kill is shorter than what a drain usually takes from its end: its parts shrink with it.
+func TestShortStop(t *testing.T) {
+	for _, stop := range []float64{0.1, 0.3, 0.8, 3.2, 3600} {
+		s := usualSpans.within(stop)
+		if !(stop/2 >= s.notAccepting && s.notAccepting > s.closing && s.closing > s.cutShort && s.cutShort > s.exit && s.exit > 0) {
+			t.Errorf("stop %g: %+v", stop, s)
+		}
+	}
+	if s := usualSpans.within(3.2); s != usualSpans {
+		t.Errorf("not the usual: %+v", s)
+	}
+}
+
 // With a tenth of a second from the notice to the kill all that was read is answered, the router hears the end, and the process ends.
 func Example_shortStop() {
 	t := openPrepared(func(c *config.Config) { c.Stop = 0.1 }, zap.NewNop(), func(*Server) {})
@@ -103,6 +116,29 @@
 	}
 }
 
+// Newcomers flood in as the listener closes: once it is closed nobody more is taken in.
+func TestAcceptQueuedEnds(t *testing.T) {
+	listener := must(net.Listen("tcp", "127.0.0.1:0")).(*net.TCPListener)
+	for range 3 {
+		defer must(net.Dial("tcp", listener.Addr().String())).Close()
+	}
+	s := New(&config.Config{Sockets: 64, Memory: 64 << 20}, zap.NewNop())
+	listener.Close()
+	over := make(chan bool)
+	go func() {
+		s.acceptQueued(context.Background(), listener)
+		close(over)
+	}()
+	select {
+	case <-over:
+	case <-time.After(patience):
+		t.Fatal("goes on")
+	}
+	if n := len(s.conns); n != 0 {
+		t.Errorf("%d connections taken in", n)
+	}
+}
+
 // Panics where the embedder reads the configuration, as the kernel comes up, and while the process looks after itself: each is
 // logged, and the app server goes on.
 func Example_panicsInDuties() {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -74,11 +74,14 @@
 	var load view.Load
 	loaded := time.Time{}
 	for {
-		if time.Since(loaded) >= loadEvery {
-			load, loaded = s.load(), time.Now()
-		}
-		state := s.fleetState()
-		m.UpdateState(state, state == view.Serving && !s.healthy(), load)
+		s.stopPanic(func() error {
+			if time.Since(loaded) >= loadEvery {
+				load, loaded = s.load(), time.Now()
+			}
+			state := s.fleetState()
+			m.UpdateState(state, state == view.Serving && !s.healthy(), load)
+			return nil
+		})
 		select {
 		case <-all.Done():
 			return nil
--- a/server/listen.go
+++ b/server/listen.go
@@ -41,7 +41,7 @@
 		nc, err := listener.AcceptTCP()
 		switch {
 		case err == nil:
-			s.admit(ctx, nc)
+			s.letIn(ctx, nc)
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -74,6 +74,16 @@
 	}
 }
 
+// letIn is admit, guarded against a panic, which costs the one connection.
+func (s *Server) letIn(ctx context.Context, nc net.Conn) {
+	if s.stopPanic(func() error {
+		s.admit(ctx, nc)
+		return nil
+	}) != nil {
+		nc.Close()
+	}
+}
+
 // admit takes one connection in, or turns it away at once: behind it there may be hundreds that say nothing, and then
 // one of a usual router.
 func (s *Server) admit(ctx context.Context, nc net.Conn) {
@@ -103,7 +113,7 @@
 
 // acceptQueued takes in what the machine has accepted for the listener and nobody has fetched yet. Guards against a close
 // over it: the system would reset those connections, with RPCs on them that count as read. None is waited for, so that what
-// remains is the instant between the last look and the close.
+// remains is the instant between the last look and the close. While newcomers flood in it goes on until the listener is closed.
 func (s *Server) acceptQueued(ctx context.Context, listener *net.TCPListener) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
@@ -127,7 +137,7 @@
 		})
 		switch {
 		case nc != nil:
-			s.admit(ctx, nc)
+			s.letIn(ctx, nc)
 		case err != 0 && err != syscall.EINTR && err != syscall.ECONNABORTED:
 			return
 		}
--- a/server/reload.go
+++ b/server/reload.go
@@ -30,17 +30,10 @@
 		var faulty error
 		changed := false
 		for end := time.Now().Add(settle); !changed && time.Now().Before(end); {
-			c, b, err := read()
-			if faulty = err; err == nil {
-				changed = s.adopt(c)
-				if b != nil && s.press.adopt(b) {
-					changed = true
-					s.log.Info("settings reloaded", zap.String("file", b.Path), zap.Bool("pressure", b.Pressure.On))
-				}
-				if b != nil && s.adoptFleet(b) {
-					changed = true
-				}
-			}
+			faulty = s.stopPanic(func() (err error) {
+				changed, err = s.readAgain(read)
+				return err
+			})
 			if !changed && !sleep(ctx, lookAtFile.Seconds()) {
 				return
 			}
@@ -61,6 +54,23 @@
 	}
 }
 
+// readAgain reads the config and the settings, and takes over what is new.
+func (s *Server) readAgain(read func() (*config.Config, *config.Settings, error)) (changed bool, err error) {
+	c, b, err := read()
+	if err != nil {
+		return false, err
+	}
+	changed = s.adopt(c)
+	if b == nil {
+		return changed, nil
+	}
+	if s.press.adopt(b) {
+		changed = true
+		s.log.Info("settings reloaded", zap.String("file", b.Path), zap.Bool("pressure", b.Pressure.On))
+	}
+	return s.adoptFleet(b) || changed, nil
+}
+
 // adopt takes over what may change while running and tells whether anything is new. Runs and all that is held
 // go on; what cannot change stays as it was, with a line that says so.
 func (s *Server) adopt(c *config.Config) (changed bool) {
--- a/server/server.go
+++ b/server/server.go
@@ -51,11 +51,11 @@
 	distribution      *fleet.Distribution               // of configuration; nil where it is off
 	warmAt            atomic.Int64                      // when the app server is at full strength, Unix nanoseconds; 0 before its kernel is up
 
-	stageAt atomic.Int32 // see enter
-	spans   drainSpans
-	half    time.Duration // see halfFor
-	idle    time.Duration // between looks at idle connections, see idleEvery
-	held    atomic.Int64  // bytes of RPCs whose answer is owed, about
+	stageAt atomic.Int32                  // see enter
+	spans   func(stop float64) drainSpans // of a drain in so many seconds
+	half    time.Duration                 // see halfFor
+	idle    time.Duration                 // between looks at idle connections, see idleEvery
+	held    atomic.Int64                  // bytes of RPCs whose answer is owed, about
 	mu      sync.Mutex
 	conns   map[*conn]struct{}
 	left    chan struct{} // holds one after a connection has ended
@@ -84,7 +84,7 @@
 		return zapcore.NewSamplerWithOptions(core, lineEvery, 1, 0)
 	})), methods: map[string]int{}, conns: map[*conn]struct{}{},
 		up: make(chan struct{}), left: make(chan struct{}, 1), said: make(chan struct{}, 1), well: make(chan struct{}, 1),
-		spans: usualSpans, half: halfFor, idle: idleEvery, press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetSettings: b.Fleet, fleetSettingsRead: b.Fleet}
+		spans: usualSpans.within, half: halfFor, idle: idleEvery, press: newPress(c, b), signal: c.Rules.Machine.Signal, fleetSettings: b.Fleet, fleetSettingsRead: b.Fleet}
 	s.config.Store(c)
 	s.systemLimit = systemLimit()
 	s.read = c
@@ -149,7 +149,7 @@
 	if member != nil {
 		s.group.Go(func() error { return s.takePart(ctx, all, member, roles) })
 	}
-	s.group.Go(func() error { return s.link.Serve(all) })
+	s.group.Go(func() error { return s.keepUp(all, s.link.Serve) })
 	s.group.Go(func() error { return s.dispatch(all) })
 	s.group.Go(func() error { return s.beat(all) })
 	s.group.Go(func() error { return s.watch(all) })
@@ -160,14 +160,16 @@
 			return nil
 		case <-s.up:
 		}
-		return roster.Report(all, func() (netip.AddrPort, string, bool) {
-			c := s.config.Load()
-			return c.Roster, c.Name, s.healthy()
-		}, s.said)
+		return s.keepUp(all, func(ctx context.Context) error {
+			return roster.Report(ctx, func() (netip.AddrPort, string, bool) {
+				c := s.config.Load()
+				return c.Roster, c.Name, s.healthy()
+			}, s.said)
+		})
 	})
 	s.group.Go(func() error {
 		defer end()
-		return s.leave(ctx, all, listener, closed)
+		return s.stopPanic(func() error { return s.leave(ctx, all, listener, closed) })
 	})
 	s.log.Info("serving", zap.Stringer("listen", listener.Addr()))
 	err = s.group.Wait()
@@ -208,6 +210,12 @@
 
 var usualSpans = drainSpans{notAccepting: 0.4, closing: 0.3, cutShort: 0.2, exit: 0.08}
 
+// within gives spans that leave at least half of the time from the notice to the kill for what still comes.
+func (d drainSpans) within(stop float64) drainSpans {
+	share := min(1, stop/2/d.notAccepting)
+	return drainSpans{notAccepting: d.notAccepting * share, closing: d.closing * share, cutShort: d.cutShort * share, exit: d.exit * share}
+}
+
 // leave waits for the notice and then sees the process out. The others go on until it returns: what is read by then is
 // answered.
 func (s *Server) leave(ctx, all context.Context, listener *net.TCPListener, closed <-chan struct{}) error {
@@ -217,10 +225,11 @@
 		return nil
 	case <-ctx.Done():
 	}
-	stop := s.clock.now() + s.config.Load().Stop
+	span := s.config.Load().Stop
+	spans, stop := s.spans(span), s.clock.now()+span
 	s.enter(stageDraining)
 	s.gate.Leave(s.clock.now(), stop)
-	if !sleep(all, stop-s.spans.notAccepting-s.clock.now()) {
+	if !sleep(all, stop-spans.notAccepting-s.clock.now()) {
 		return nil
 	}
 	listener.SetDeadline(time.Unix(1, 0))
@@ -229,15 +238,17 @@
 	case <-all.Done():
 		return nil
 	case <-closed: // all that were let in are among the connections
+	case <-time.After(seconds(stop - spans.closing - s.clock.now())): // newcomers still flood in
+		listener.Close()
 	}
 	for {
-		if s.clock.now() > stop-s.spans.closing && s.stageAt.Load() == int32(stageNotAccepting) {
+		if s.clock.now() > stop-spans.closing && s.stageAt.Load() == int32(stageNotAccepting) {
 			s.enter(stageClosing)
 		}
 		s.mu.Lock()
 		for c := range s.conns {
 			switch {
-			case s.clock.now() > stop-s.spans.cutShort:
+			case s.clock.now() > stop-spans.cutShort:
 				c.cutShort()
 			case s.stageAt.Load() == int32(stageClosing):
 				c.end()
@@ -247,7 +258,7 @@
 		}
 		n := len(s.conns)
 		s.mu.Unlock()
-		if n > 0 && s.clock.now() > stop-s.spans.exit {
+		if n > 0 && s.clock.now() > stop-spans.exit {
 			s.log.Warn("connections cut off", zap.Int("connections", n))
 			n = 0
 		}
@@ -333,10 +344,10 @@
 func (s *Server) beat(ctx context.Context) error {
 	due := s.clock.now()
 	for {
-		gauges := s.link.Gauges(freshGauges)
-		now := s.clock.now()
-		after := lookAgain
+		now, after := s.clock.now(), lookAgain
 		s.stopPanic(func() error {
+			gauges := s.link.Gauges(freshGauges)
+			now = s.clock.now()
 			after = s.gate.Tick(now, gauges)
 			return nil
 		})
@@ -368,23 +379,41 @@
 		case <-s.gate.Changed():
 		case <-s.well:
 		}
-		for _, note := range s.gate.Notes() {
-			s.log.Info(note)
+		s.stopPanic(func() error {
+			for _, note := range s.gate.Notes() {
+				s.log.Info(note)
+			}
+			if now := s.healthy(); now != healthy {
+				healthy = now
+				s.log.Info("health", zap.Bool("good", healthy))
+				signal(s.said)
+			}
+			return nil
+		})
+	}
+}
+
+// keepUp has a duty begin again after a panic, until ctx ends.
+func (s *Server) keepUp(ctx context.Context, duty func(ctx context.Context) error) error {
+	for {
+		err := s.stopPanic(func() error { return duty(ctx) })
+		if !errors.Is(err, errPanic) {
+			return err
 		}
-		if now := s.healthy(); now != healthy {
-			healthy = now
-			s.log.Info("health", zap.Bool("good", healthy))
-			signal(s.said)
+		if !sleep(ctx, lookAgain) {
+			return nil
 		}
 	}
 }
 
+var errPanic = errors.New("panic")
+
 // stopPanic makes a panic an error: what came with it is lost, the process goes on.
 func (s *Server) stopPanic(f func() error) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
 			s.log.Error("panic", zap.Any("panic", p), zap.Stack("stack"))
-			err = fmt.Errorf("panic: %v", p)
+			err = fmt.Errorf("%w: %v", errPanic, p)
 		}
 	}()
 	return f()
@@ -399,10 +428,13 @@
 		warm += s.config.Load().Rules.Rules.WarmIn
 	}
 	s.warmAt.Store(int64(min(warm*1e9, math.MaxInt64/2)))
-	if s.gate.Boot(now, now-ago, cold) {
-		close(s.up)
-		signal(s.well)
-	}
+	s.stopPanic(func() error {
+		if s.gate.Boot(now, now-ago, cold) {
+			defer signal(s.well)
+			close(s.up)
+		}
+		return nil
+	})
 }
 
 // Ended is the kernel's word on a run.
