--- a/cmd/valveglade/log_test.go
+++ b/cmd/valveglade/log_test.go
@@ -50,11 +50,7 @@
 	}
 	p := &program{address: free.Addr().String(), config: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
 	free.Close()
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"kernel":%q,"roster":"127.0.0.1:9","stop_ms":1000,
-		"settings":{"profiles":[{"name":"look","idempotency":"retryable"}]}}`, p.address, kernel.Addr())
-	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p.setKernel(t, kernel.Addr().String())
 	p.Cmd = exec.Command(os.Args[0])
 	p.Env = append(os.Environ(), serveVariable+"=1", "GW_CONFIG="+p.config)
 	p.Stderr = standardError
@@ -67,6 +63,16 @@
 	return p
 }
 
+// setKernel writes the configuration.
+func (p *program) setKernel(t *testing.T, address string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"kernel":%q,"roster":"127.0.0.1:9","stop_ms":1000,
+		"settings":{"profiles":[{"name":"look","idempotency":"retryable"}]}}`, p.address, address)
+	if err := os.WriteFile(p.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // check makes one health check on a connection of its own.
 func (p *program) check() error {
 	const call = "\x00\x00\x00\x12\x80\x01\x00\x01\x00\x00\x00\x05check\x00\x00\x00\x01\x00"
--- a/server/end_test.go
+++ b/server/end_test.go
@@ -260,7 +260,9 @@
 // it.
 func Example_exitCrossed() {
 	t := openPrepared(func(c *config.Config) { c.Stop, c.Rules.Rules.Grace = 40, 0.05 }, zap.NewNop(), func(s *Server) {
-		s.spans = func(float64) drainSpans { return drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1} }
+		s.spans = func(float64) drainSpans {
+			return drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1}
+		}
 	})
 	t.linkUp()
 	r, c, g := t.gatedRouter()
@@ -304,7 +306,9 @@
 // good order all the same.
 func Example_cutShort() {
 	t := openPrepared(func(c *config.Config) { c.Stop = 40 }, zap.NewNop(), func(s *Server) {
-		s.spans = func(float64) drainSpans { return drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1} }
+		s.spans = func(float64) drainSpans {
+			return drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1}
+		}
 	})
 	t.linkUp()
 	r, c, g := t.gatedRouter()
