Without a descriptor left newcomers are turned away, and kernel link and configuration come first

Cause: accept() on EMFILE only evicts idle connections; where all are at work newcomers stay in the listener's queue and hear nothing. Reload() gives up a file after 2 s, also where it is not the file but a descriptor that is missing, and nothing had idle connections give way to a kernel link or a configuration while no newcomer came. Ruled out: a spin, the RPC in hand (both as wanted before). Change: the acceptor holds one descriptor back, with which it turns newcomers away (what has come is answered); closeIdle looks four times a second whether a descriptor is left and evicts idle connections if not; Reload goes on for as long as none is left; for 5 s after a shortage a newcomer is served only if one descriptor is left beside its own. Test: a newcomer's close over an RPC that was not read counts as heard; silence does not.

--- a/server/descriptors.go
+++ b/server/descriptors.go
@@ -5,18 +5,79 @@
 	"math"
 	"os"
 	"syscall"
+	"time"
 )
 
 const (
 	// reserve is how many descriptors are kept back from callers at the least: the ten that a process holds at its start (the
 	// standard three, two of the control group, two of the poller, the listener and two that it may have inherited), and spare.
-	reserve = 20
+	reserve = 10 + spare
 	// spare is for what is opened after the start, beside connections that are served: the kernel link and the one that
 	// follows it when the kernel moves, the roster's socket, a configuration file, a file of the system's figures, the
-	// connection that is being let in, and mostGoing that are on their way out.
-	spare = 6 + mostGoing
+	// connection that is being let in, the one held back for newcomers, and mostGoing that are on their way out.
+	spare = 7 + mostGoing
+	// shortFor is how long after the last descriptor was taken one has to be left over for a newcomer to be served: the kernel link
+	// and a new configuration come first.
+	shortFor = 5 * time.Second
 )
 
+// openDescriptor takes a descriptor.
+func openDescriptor() (int, error) {
+	return syscall.Open(os.DevNull, syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
+}
+
+// descriptorLeft reports whether the process could open one more descriptor now.
+func descriptorLeft() bool {
+	fd, err := openDescriptor()
+	if err != nil {
+		return !outOfDescriptors(err)
+	}
+	syscall.Close(fd)
+	return true
+}
+
+// heldBack is one descriptor that the acceptor holds, so that it can turn newcomers away where the system has none left: those would
+// wait unheard in the listener's queue. The acceptor's goroutine alone has it.
+type heldBack struct {
+	fd   int
+	held bool
+}
+
+func (h *heldBack) take() {
+	if h.held {
+		return
+	}
+	if fd, err := openDescriptor(); err == nil {
+		h.fd, h.held = fd, true
+	}
+}
+
+func (h *heldBack) release() {
+	if h.held {
+		syscall.Close(h.fd)
+		h.held = false
+	}
+}
+
+// noteShort takes note that no descriptor was left, and has idle connections give theirs back. It reports whether any does.
+func (s *Server) noteShort() (evicted bool) {
+	s.shortAt.Store(int64(s.clock.now()))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for range mostGoing {
+		if out, _ := s.leastWanted(); out != nil && out.evict() {
+			evicted = true
+		}
+	}
+	return evicted
+}
+
+// short reports whether no descriptor is left for one more connection, where there was none some seconds ago.
+func (s *Server) short() bool {
+	at := s.shortAt.Load()
+	return at > 0 && s.clock.now()-float64(at) < shortFor.Seconds() && !descriptorLeft()
+}
+
 // countOwn takes note of the descriptors that the process holds before it lets anybody in: the listener, those of the
 // runtime, and whatever it was started with, which counts against its limit too.
 func (s *Server) countOwn() {
--- a/server/listen.go
+++ b/server/listen.go
@@ -37,7 +37,10 @@
 // closes the listener.
 func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
 	defer listener.Close()
+	var back heldBack
+	defer back.release()
 	for {
+		back.take()
 		nc, err := listener.AcceptTCP()
 		switch {
 		case err == nil:
@@ -50,8 +53,9 @@
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err) // nobody would ever come in again: no app server that looks well
 		default:
-			s.acceptFailed(err)
-			if !sleep(ctx, 0.01) {
+			if short := s.acceptFailed(err); short && back.held {
+				s.acceptOnHeldBack(ctx, listener, &back)
+			} else if !sleep(ctx, 0.01) {
 				return nil
 			}
 		}
@@ -59,18 +63,18 @@
 }
 
 // acceptFailed makes room where that is what accepting lacks: other parts of the process, and other processes, may have
-// taken descriptors that the configuration allows to this one.
-func (s *Server) acceptFailed(err error) {
+// taken descriptors that the configuration allows to this one. It reports whether that is so and there is no room to be made.
+func (s *Server) acceptFailed(err error) (short bool) {
 	s.limited.Warn("accept", zap.Error(err))
-	if !outOfDescriptors(err) {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for range mostGoing {
-		if out, _ := s.leastWanted(); out != nil {
-			out.evict()
-		}
+	return outOfDescriptors(err) && !s.noteShort()
+}
+
+// acceptOnHeldBack turns the next newcomer away, unless there are descriptors again when it comes.
+func (s *Server) acceptOnHeldBack(ctx context.Context, listener *net.TCPListener, back *heldBack) {
+	back.release()
+	defer back.take()
+	if nc, err := listener.AcceptTCP(); err == nil {
+		s.letIn(ctx, nc)
 	}
 }
 
@@ -93,6 +97,8 @@
 		why = "connection turned away under pressure"
 	case !s.makeRoom():
 		why = "connection turned away, all others are at work"
+	case s.short():
+		why = "connection turned away, no descriptor is left"
 	}
 	if why != "" {
 		s.limited.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
@@ -240,6 +246,9 @@
 // closeIdle ends what has been idle for as long as the module says, and asks those idle longest to go before the descriptors run
 // out. A router that is in the middle of a message is neither: the reader has a bound for that.
 func (s *Server) closeIdle() {
+	if !descriptorLeft() { // for the kernel link, the roster, a configuration
+		s.noteShort()
+	}
 	s.evictExcess()
 	after := s.gate.Idle()
 	var idle []quiet
--- a/server/reload.go
+++ b/server/reload.go
@@ -34,6 +34,10 @@
 				changed, err = s.readAgain(read)
 				return err
 			})
+			if faulty != nil && !descriptorLeft() { // it is not the file that is faulty
+				s.noteShort()
+				end = time.Now().Add(settle)
+			}
 			if !changed && !sleep(ctx, lookAtFile.Seconds()) {
 				return
 			}
--- a/server/server.go
+++ b/server/server.go
@@ -44,6 +44,7 @@
 	ownsProcess atomic.Bool  // its memory limit is ours to set
 	atStart     atomic.Int64 // descriptors that the process held when it began to listen, see countOwn
 	systemLimit int          // of descriptors, see room
+	shortAt     atomic.Int64 // when no descriptor was left, in whole seconds; 0 for never
 
 	fleetSettings     config.Fleet                      // in force from the start
 	fleetSettingsRead config.Fleet                      // as last read; only Reload's goroutine has it
