kernel: failing test of a run in doubt where runs are short

Example_doubtShort: after 400 runs of 5 ms one whose command may be lost is let go 20 s later; until then it takes a core's place, and two of them, on a machine with one core, everybody's.

--- a/internal/kernel/fault_test.go
+++ b/internal/kernel/fault_test.go
@@ -449,3 +449,36 @@
 	// i/o timeout
 	// 2
 }
+
+// Where runs take milliseconds a run in doubt is let go after a second: until then it takes a core's place, on a machine
+// with one core everybody's.
+func Example_doubtShort() {
+	c := start()
+	c.boot()
+	for k := range 400 {
+		uid := fmt.Sprint(k)
+		c.Run(uid, uid, "look", nil, true)
+		c.lines.ReadString('\n')
+		c.say(fmt.Sprintf(`{"action":"REAP","pos":%d,"uid":"%s","code":"fine","wall_ms":5}`, k+1, uid))
+		<-c.told
+	}
+	c.Run("A", "a", "pay", nil, false)
+	c.hear(1)
+	c.conn.Close()
+	c.boot()
+	began := time.Now()
+	c.owner(1)
+	fmt.Println(time.Since(began) > doubtLeast/2, time.Since(began) < longRun/2)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"a","lane":"pay","content":""} <nil>
+	// < {"action":"OPEN","pos":400} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// booted 0.01 ago, cold false
+	// A ended after 0: "", run end lost (sent)
+	// true true
+	// ended: <nil>
+}
--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -46,7 +46,7 @@
 	log   *zap.Logger
 	moved chan struct{} // holds one after a change of at
 
-	doubtFor    time.Duration // given to runs whose end may have been lost
+	doubtFor    time.Duration // given at most to runs whose end may have been lost
 	syncFor     time.Duration // given to the answer to the first question on a connection
 	lossSpan    time.Duration // what was read so long before a connection's end may be lost with it
 	handoverFor time.Duration // given to a connection's last question on a move
@@ -62,7 +62,8 @@
 	handover handover
 	meters   []float64
 	measured time.Time
-	pos      int // of the last notice read
+	longest  time.Duration // that runs have taken of late
+	pos      int           // of the last notice read
 	work     chan struct{}
 	informed chan struct{}
 	parted   chan struct{} // holds one when a handover is ready
@@ -78,16 +79,17 @@
 )
 
 const (
-	silence  = 5 * time.Second        // gauges are asked for many times a second: the link is dead
-	longRun  = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
-	askAgain = time.Second            // a question without an answer for so long may have been lost
-	forget   = 8 * time.Second        // and after so long its answer is not expected any more
-	loss     = 100 * time.Millisecond // commands of the last 50 ms before a break may be lost, and clocks have their limits
+	silence    = 5 * time.Second        // gauges are asked for many times a second: the link is dead
+	longRun    = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
+	doubtLeast = time.Second            // given to runs in doubt where all take less than half of it
+	askAgain   = time.Second            // a question without an answer for so long may have been lost
+	forget     = 8 * time.Second        // and after so long its answer is not expected any more
+	loss       = 100 * time.Millisecond // commands of the last 50 ms before a break may be lost, and clocks have their limits
 )
 
 // New makes a link to the kernel at an address; nothing is opened before Serve.
 func New[K any](at netip.AddrPort, owner Owner[K], log *zap.Logger) *Link[K] {
-	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, syncFor: askAgain, lossSpan: loss, handoverFor: handoverTime, moved: make(chan struct{}, 1),
+	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, longest: longRun, syncFor: askAgain, lossSpan: loss, handoverFor: handoverTime, moved: make(chan struct{}, 1),
 		runs: map[string]*task[K]{}, work: make(chan struct{}, 1), informed: make(chan struct{}, 1), parted: make(chan struct{}, 1)}
 }
 
