--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -167,6 +167,7 @@
 	if end != nil {
 		n.Content = nil // a run that failed has no result
 	}
+	r.took(n.Took / 1000)
 	if !r.ended(n.UID, n.Took/1000, n.Content, end) && !r.strange {
 		r.strange = true
 		r.log.Warn("end of a run not in hand", zap.String("run", n.UID))
@@ -225,12 +226,21 @@
 	l.letGo(doubtful)
 }
 
-// letGo ends runs after a while, unless their end comes after all: without one a run would count for ever.
+// took takes note of how long a run took.
+func (l *Link[K]) took(span float64) {
+	const kept = 0.98 // of what the longest took, with each that is shorter
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.longest = max(time.Duration(min(span, longRun.Seconds())*float64(time.Second)), time.Duration(kept*float64(l.longest)))
+}
+
+// letGo ends runs after a while, unless their end comes after all: without one a run would count for ever. The while is twice
+// what the longest run of late took. Called under the lock.
 func (l *Link[K]) letGo(doubtful []*task[K]) {
 	if len(doubtful) == 0 {
 		return
 	}
-	time.AfterFunc(l.doubtFor, func() {
+	time.AfterFunc(min(l.doubtFor, max(2*l.longest, doubtLeast)), func() {
 		for _, t := range doubtful {
 			l.mu.Lock()
 			known := l.runs[t.uid] == t
