server: a link that breaks behind a tokened RPC, from router to kernel

Example_linkOnce: what must not run twice is not asked for again, and served when its end comes. It fails where do() tells the link that every RPC may run again.

--- a/server/server_test.go
+++ b/server/server_test.go
@@ -329,6 +329,29 @@
 	// served: <nil>
 }
 
+// The link breaks right behind what the kernel was asked: a tokened RPC is not asked for again, as its run may be at its end.
+// That end comes, and its RPC is served.
+func Example_linkOnce() {
+	t := open(nil)
+	r := t.dial()
+	r.execute(1, "op", "record", "dedupe", "t")
+	t.asked()
+	t.kernel.Close()
+	t.link()
+	r.execute(2)
+	t.asked()
+	t.reap(1, "fine", "one")
+	t.reap(2, "fine", "two")
+	r.hear(2)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 record body of t
+	// kernel: SCHED 2 look body 2
+	// router: 1 ok "one" good 1
+	// router: 2 ok "two" good 1
+	// served: <nil>
+}
+
 // What cannot be run is answered and the connection goes on; what cannot be read ends the connection, and no
 // other.
 func Example_bad() {
