Distribution codec: the fields of each message are listed once for both directions

Each message now has one function that passes its fields, in order, to a codec; messageWriter appends them and messageReader fills them in.

--- a/fleet/distribution_codec.go
+++ b/fleet/distribution_codec.go
@@ -17,63 +17,155 @@
 // maxSeconds bounds ages and rates in messages.
 const maxSeconds = 1e12
 
-// messageWriter appends fields to a message. Numbers are big endian; a text or payload is its length (2 bytes) and its bytes.
-type messageWriter struct{ out []byte }
+// fieldCodec is one side of the codec of a message: messageWriter appends the fields, messageReader fills them in. The fields of
+// each kind of message are listed once, by a function that both sides run; see messageFormat.
+type fieldCodec interface {
+	byte(*byte)
+	number(*uint64) // of at most maxIndex
+	any64(*uint64)  // of any value, such as an identifier
+	seconds(*float64)
+	flag(*bool)
+	text(*string)
+	bytes(*[]byte)
+	count(int) int // writes the length of a list, or reads it whatever it is given; the length is returned
+	ok() bool      // whether all fields so far were sound
+	invalid()      // refuses the message that is read; has no effect on one that is written
+}
+
+// messageFormat is the codec of one kind of message.
+type messageFormat struct {
+	kind  byte
+	write func(*messageWriter, any) bool // reports whether the message is of this kind
+	read  func(*messageReader) any
+}
+
+// formatOf returns the codec of the messages of type M, whose fields are those that a function passes to a codec, in their order.
+func formatOf[M any](kind byte, fields func(fieldCodec, *M)) messageFormat {
+	return messageFormat{
+		kind: kind,
+		write: func(w *messageWriter, message any) bool {
+			m, ok := message.(M)
+			if !ok {
+				return false
+			}
+			w.byte(&kind)
+			fields(w, &m)
+			return true
+		},
+		read: func(r *messageReader) any {
+			var m M
+			fields(r, &m)
+			return m
+		},
+	}
+}
 
-func (w *messageWriter) byte(b byte)     { w.out = append(w.out, b) }
-func (w *messageWriter) number(n uint64) { w.out = binary.BigEndian.AppendUint64(w.out, n) }
-func (w *messageWriter) count(n int)     { w.out = binary.BigEndian.AppendUint16(w.out, uint16(n)) }
-func (w *messageWriter) bytes(b []byte)  { w.count(len(b)); w.out = append(w.out, b...) }
-func (w *messageWriter) text(s string)   { w.count(len(s)); w.out = append(w.out, s...) }
+// usualMessage is the capacity in bytes that most messages are encoded in without growing it.
+const usualMessage = 128
 
-// seconds writes an age, or a rate; what is unknown, and so infinite, is written as the most.
-func (w *messageWriter) seconds(s float64) { w.number(math.Float64bits(min(s, maxSeconds))) }
+// encodeMessage returns a prefix with the kind and the fields of a message after it, or nil for a type that has no format.
+func encodeMessage(formats []messageFormat, prefix string, message any) []byte {
+	w := messageWriter{out: append(make([]byte, 0, usualMessage), prefix...)}
+	for _, format := range formats {
+		if format.write(&w, message) {
+			return w.out
+		}
+	}
+	return nil
+}
 
-func (w *messageWriter) flag(set bool) {
-	if set {
-		w.byte(1)
-		return
+// decodeMessage reads what encodeMessage wrote after the prefix; anything else gives errMalformed.
+func decodeMessage(formats []messageFormat, payload []byte) (any, error) {
+	r := messageReader{rest: payload}
+	var kind byte
+	r.byte(&kind)
+	for _, format := range formats {
+		if format.kind != kind {
+			continue
+		}
+		message := format.read(&r)
+		if r.failed || len(r.rest) > 0 {
+			return nil, errMalformed
+		}
+		return message, nil
 	}
-	w.byte(0)
+	return nil, errMalformed
 }
 
-func (w *messageWriter) version(v configlog.Version) {
-	w.number(v.Term)
-	w.number(v.Index)
+func versionFields(c fieldCodec, v *configlog.Version) {
+	c.number(&v.Term)
+	c.number(&v.Index)
 }
 
-func (w *messageWriter) change(c configlog.Change) {
-	w.text(c.Service)
-	w.bytes(c.Payload)
+func changeFields(c fieldCodec, change *configlog.Change) {
+	c.text(&change.Service)
+	c.bytes(&change.Payload)
+}
+
+func entryFields(c fieldCodec, e *configlog.Entry) {
+	versionFields(c, &e.Version)
+	c.number(&e.Previous)
+	changeFields(c, &e.Change)
+}
+
+// listFields is the field of a list: its length, then its elements. What is read ends with the first element that is not sound.
+func listFields[T any](c fieldCodec, list *[]T, element func(fieldCodec, *T)) {
+	for k := range c.count(len(*list)) {
+		if !c.ok() {
+			return
+		}
+		if k == len(*list) {
+			*list = append(*list, *new(T))
+		}
+		element(c, &(*list)[k])
+	}
+}
+
+// messageWriter appends fields to a message. Numbers are big endian; a text or payload is its length (2 bytes) and its bytes.
+type messageWriter struct{ out []byte }
+
+func (w *messageWriter) byte(b *byte)     { w.out = append(w.out, *b) }
+func (w *messageWriter) number(n *uint64) { w.any64(n) }
+func (w *messageWriter) any64(n *uint64)  { w.out = binary.BigEndian.AppendUint64(w.out, *n) }
+func (w *messageWriter) text(s *string)   { w.count(len(*s)); w.out = append(w.out, *s...) }
+func (w *messageWriter) bytes(b *[]byte)  { w.count(len(*b)); w.out = append(w.out, *b...) }
+func (w *messageWriter) ok() bool         { return true }
+func (w *messageWriter) invalid()         {}
+
+func (w *messageWriter) count(n int) int {
+	w.out = binary.BigEndian.AppendUint16(w.out, uint16(n))
+	return n
 }
 
-func (w *messageWriter) entry(e configlog.Entry) {
-	w.version(e.Version)
-	w.number(e.Previous)
-	w.change(e.Change)
+// seconds writes an age, or a rate; what is unknown, and so infinite, is written as the most.
+func (w *messageWriter) seconds(s *float64) {
+	w.out = binary.BigEndian.AppendUint64(w.out, math.Float64bits(min(*s, maxSeconds)))
 }
 
-func (w *messageWriter) entries(all []configlog.Entry) {
-	w.count(len(all))
-	for _, e := range all {
-		w.entry(e)
+func (w *messageWriter) flag(set *bool) {
+	var b byte
+	if *set {
+		b = 1
 	}
+	w.out = append(w.out, b)
 }
 
 // messageReader takes fields from the front of a message. After the first field that is missing or out of its bounds all are
-// zero, and done reports an error.
+// zero, and ok reports false.
 type messageReader struct {
 	rest   []byte
 	failed bool
 }
 
-func (r *messageReader) fail() {
+func (r *messageReader) ok() bool { return !r.failed }
+
+func (r *messageReader) invalid() {
 	r.rest, r.failed = nil, true
 }
 
 func (r *messageReader) take(n int) []byte {
 	if len(r.rest) < n {
-		r.fail()
+		r.invalid()
 		return make([]byte, n)
 	}
 	taken := r.rest[:n]
@@ -81,76 +173,41 @@
 	return taken
 }
 
-func (r *messageReader) byte() byte { return r.take(1)[0] }
-func (r *messageReader) count() int { return int(binary.BigEndian.Uint16(r.take(2))) }
-
-// any64 is a number that may have any value, such as an identifier.
-func (r *messageReader) any64() uint64 { return binary.BigEndian.Uint64(r.take(8)) }
+func (r *messageReader) byte(b *byte)    { *b = r.take(1)[0] }
+func (r *messageReader) any64(n *uint64) { *n = binary.BigEndian.Uint64(r.take(8)) }
+func (r *messageReader) count(int) int   { return int(binary.BigEndian.Uint16(r.take(2))) }
+func (r *messageReader) text(s *string)  { *s = string(r.take(r.count(0))) }
 
-func (r *messageReader) number() uint64 {
-	n := r.any64()
-	if n > maxIndex {
-		r.fail()
-		return 0
+func (r *messageReader) number(n *uint64) {
+	if r.any64(n); *n > maxIndex {
+		r.invalid()
+		*n = 0
 	}
-	return n
 }
 
-func (r *messageReader) seconds() float64 {
-	s := math.Float64frombits(r.any64())
-	if !(s >= 0 && s <= maxSeconds) || math.Signbit(s) {
-		r.fail()
-		return 0
+func (r *messageReader) seconds(s *float64) {
+	var bits uint64
+	r.any64(&bits)
+	*s = math.Float64frombits(bits)
+	if !(*s >= 0 && *s <= maxSeconds) || math.Signbit(*s) {
+		r.invalid()
+		*s = 0
 	}
-	return s
 }
 
-func (r *messageReader) flag() bool {
-	b := r.byte()
-	if b > 1 {
-		r.fail()
+func (r *messageReader) flag(set *bool) {
+	var b byte
+	if r.byte(&b); b > 1 {
+		r.invalid()
 	}
-	return b == 1
+	*set = b == 1
 }
 
-func (r *messageReader) text() string { return string(r.take(r.count())) }
-
 // bytes copies, so that what is kept of a message does not keep all of it.
-func (r *messageReader) bytes() []byte {
-	n := r.count()
+func (r *messageReader) bytes(b *[]byte) {
+	n := r.count(0)
 	if n == 0 {
-		return nil
-	}
-	return append([]byte(nil), r.take(n)...)
-}
-
-func (r *messageReader) version() configlog.Version {
-	return configlog.Version{Term: r.number(), Index: r.number()}
-}
-
-func (r *messageReader) change() configlog.Change {
-	return configlog.Change{Service: r.text(), Payload: r.bytes()}
-}
-
-func (r *messageReader) entry() configlog.Entry {
-	return configlog.Entry{Version: r.version(), Previous: r.number(), Change: r.change()}
-}
-
-func (r *messageReader) entries() []configlog.Entry {
-	var all []configlog.Entry
-	for range r.count() {
-		if r.failed {
-			return nil
-		}
-		all = append(all, r.entry())
-	}
-	return all
-}
-
-// done reports whether the message was read whole, with nothing after it.
-func (r *messageReader) done() error {
-	if r.failed || len(r.rest) > 0 {
-		return errMalformed
+		return
 	}
-	return nil
+	*b = append([]byte(nil), r.take(n)...)
 }
--- a/fleet/distribution_frame.go
+++ b/fleet/distribution_frame.go
@@ -35,133 +35,68 @@
 // newTermRequest asks the leader of a term to have another one begin: a voter that lost its files waits for it.
 type newTermRequest struct{ Term uint64 }
 
-// encodeFrame returns the payload of a frame, or nil for a message that is not known.
-func encodeFrame(message any) []byte {
-	var w messageWriter
-	switch m := message.(type) {
-	case configlog.Subscribe:
-		w.byte(frameSubscribe)
-		w.number(m.Stream)
-		w.flag(m.All)
-		w.version(m.From)
-		w.seconds(m.BytesPerSecond)
-		w.count(len(m.Services))
-		for _, service := range m.Services {
-			w.text(service)
-		}
-	case configlog.Welcome:
-		w.byte(frameWelcome)
-		w.number(m.Stream)
-		w.number(m.Sequence)
-		w.byte(byte(m.Mode))
-		w.version(m.Version)
-	case configlog.SnapshotPart:
-		w.byte(frameSnapshotPart)
-		w.number(m.Stream)
-		w.number(m.Sequence)
-		w.flag(m.Done)
-		w.count(len(m.Records))
-		for _, record := range m.Records {
-			w.change(record)
+// frameFormats are the messages of streams. Their fields are those of docs/configuration.md, in its order.
+var frameFormats = []messageFormat{
+	formatOf(frameSubscribe, func(c fieldCodec, m *configlog.Subscribe) {
+		c.any64(&m.Stream)
+		c.flag(&m.All)
+		versionFields(c, &m.From)
+		c.seconds(&m.BytesPerSecond)
+		listFields(c, &m.Services, fieldCodec.text)
+	}),
+	formatOf(frameWelcome, func(c fieldCodec, m *configlog.Welcome) {
+		c.any64(&m.Stream)
+		c.number(&m.Sequence)
+		c.byte((*byte)(&m.Mode))
+		if m.Mode < configlog.WelcomeResume || m.Mode > configlog.WelcomeBehind {
+			c.invalid()
 		}
-	case configlog.Delta:
-		w.byte(frameDelta)
-		w.number(m.Stream)
-		w.number(m.Sequence)
-		w.entry(m.Entry)
-	case configlog.Heartbeat:
-		w.byte(frameHeartbeat)
-		w.number(m.Stream)
-		w.number(m.Sequence)
-		w.version(m.Version)
-		w.seconds(m.Age)
-	case configlog.Lookup:
-		w.byte(frameLookup)
-		w.number(m.Stream)
-		w.number(m.ID)
-		w.byte(byte(m.Kind))
-		w.text(m.Name)
-	case configlog.LookupReply:
-		w.byte(frameLookupReply)
-		w.number(m.Stream)
-		w.number(m.ID)
-		w.version(m.Version)
-		w.flag(m.Found)
-		w.bytes(m.Value)
-	case applyRequest:
-		w.byte(frameApplyRequest)
-		w.text(m.Path)
-		w.flag(m.Forwarded)
-		w.bytes(m.Text)
-	case newTermRequest:
-		w.byte(frameNewTermRequest)
-		w.number(m.Term)
-	case applyReply:
-		w.byte(frameApplyReply)
-		w.version(m.Version)
-		w.text(m.Error)
-	default:
-		return nil
-	}
-	return w.out
+		versionFields(c, &m.Version)
+	}),
+	formatOf(frameSnapshotPart, func(c fieldCodec, m *configlog.SnapshotPart) {
+		c.any64(&m.Stream)
+		c.number(&m.Sequence)
+		c.flag(&m.Done)
+		listFields(c, &m.Records, changeFields)
+	}),
+	formatOf(frameDelta, func(c fieldCodec, m *configlog.Delta) {
+		c.any64(&m.Stream)
+		c.number(&m.Sequence)
+		entryFields(c, &m.Entry)
+	}),
+	formatOf(frameHeartbeat, func(c fieldCodec, m *configlog.Heartbeat) {
+		c.any64(&m.Stream)
+		c.number(&m.Sequence)
+		versionFields(c, &m.Version)
+		c.seconds(&m.Age)
+	}),
+	formatOf(frameLookup, func(c fieldCodec, m *configlog.Lookup) {
+		c.any64(&m.Stream)
+		c.any64(&m.ID)
+		c.byte((*byte)(&m.Kind))
+		c.text(&m.Name)
+	}),
+	formatOf(frameLookupReply, func(c fieldCodec, m *configlog.LookupReply) {
+		c.any64(&m.Stream)
+		c.any64(&m.ID)
+		versionFields(c, &m.Version)
+		c.flag(&m.Found)
+		c.bytes(&m.Value)
+	}),
+	formatOf(frameApplyRequest, func(c fieldCodec, m *applyRequest) {
+		c.text(&m.Path)
+		c.flag(&m.Forwarded)
+		c.bytes(&m.Text)
+	}),
+	formatOf(frameApplyReply, func(c fieldCodec, m *applyReply) {
+		versionFields(c, &m.Version)
+		c.text(&m.Error)
+	}),
+	formatOf(frameNewTermRequest, func(c fieldCodec, m *newTermRequest) { c.number(&m.Term) }),
 }
 
-// decodeFrame reads what encodeFrame wrote; anything else gives errMalformed.
-func decodeFrame(payload []byte) (any, error) {
-	r := messageReader{rest: payload}
-	var message any
-	switch kind := r.byte(); kind {
-	case frameApplyRequest:
-		message = applyRequest{Path: r.text(), Forwarded: r.flag(), Text: r.bytes()}
-	case frameApplyReply:
-		message = applyReply{Version: r.version(), Error: r.text()}
-	case frameNewTermRequest:
-		message = newTermRequest{Term: r.number()}
-	default:
-		message = r.subscription(kind)
-	}
-	if err := r.done(); err != nil || message == nil {
-		return nil, errMalformed
-	}
-	return message, nil
-}
+// encodeFrame returns the payload of a frame, or nil for a message that is not known.
+func encodeFrame(message any) []byte { return encodeMessage(frameFormats, "", message) }
 
-// subscription reads a message of a subscription, nil for a kind that is not known.
-func (r *messageReader) subscription(kind byte) any {
-	stream := r.any64()
-	switch kind {
-	case frameSubscribe:
-		m := configlog.Subscribe{Stream: stream, All: r.flag(), From: r.version(), BytesPerSecond: r.seconds()}
-		for range r.count() {
-			if r.failed {
-				return nil
-			}
-			m.Services = append(m.Services, r.text())
-		}
-		return m
-	case frameWelcome:
-		m := configlog.Welcome{Stream: stream, Sequence: r.number(), Mode: configlog.WelcomeMode(r.byte()), Version: r.version()}
-		if m.Mode < configlog.WelcomeResume || m.Mode > configlog.WelcomeBehind {
-			return nil
-		}
-		return m
-	case frameSnapshotPart:
-		m := configlog.SnapshotPart{Stream: stream, Sequence: r.number(), Done: r.flag()}
-		for range r.count() {
-			if r.failed {
-				return nil
-			}
-			m.Records = append(m.Records, r.change())
-		}
-		return m
-	case frameDelta:
-		return configlog.Delta{Stream: stream, Sequence: r.number(), Entry: r.entry()}
-	case frameHeartbeat:
-		return configlog.Heartbeat{Stream: stream, Sequence: r.number(), Version: r.version(), Age: r.seconds()}
-	case frameLookup:
-		return configlog.Lookup{Stream: stream, ID: r.any64(), Kind: configlog.Kind(r.byte()), Name: r.text()}
-	case frameLookupReply:
-		return configlog.LookupReply{Stream: stream, ID: r.any64(), Version: r.version(), Found: r.flag(), Value: r.bytes()}
-	}
-	return nil
-}
+// decodeFrame reads what encodeFrame wrote; anything else gives errMalformed.
+func decodeFrame(payload []byte) (any, error) { return decodeMessage(frameFormats, payload) }
