rig: ReadAnswers is the one loop that reads an app server's answers

Nothing else changes. go test ./rig -run 'Router|Load|Check|Naive' and ./cmd/rehearse -run 'TestScale$' pass.

--- a/cmd/rehearse/scale_load.go
+++ b/cmd/rehearse/scale_load.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"valveglade/internal/readbuffer"
 	"valveglade/internal/thrift"
 	"valveglade/rig"
 	"valveglade/rpc"
@@ -223,21 +222,8 @@
 
 // read takes in answers until the connection ends.
 func (c *frameConn) read() {
-	in := readbuffer.New(thrift.MaxFrame + 4)
-	for {
-		frame, size, err := thrift.Frame(in.Bytes())
-		if err == nil && size == 0 {
-			err = in.Fill(c)
-		}
-		if err == nil && size > 0 {
-			err = thrift.DecodeAnswer(frame, c)
-			in.Take(size)
-		}
-		if err != nil {
-			c.lost()
-			return
-		}
-	}
+	rig.ReadAnswers(c, c)
+	c.lost()
 }
 
 // lost ends the connection and all that waits on it.
--- a/rig/router.go
+++ b/rig/router.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -132,18 +133,24 @@
 }
 
 func (c *routerConn) read() {
+	ReadAnswers(c, c)
+	c.fail()
+}
+
+// ReadAnswers passes each answer that an app server sends on a connection to its asker. It returns once the connection has
+// ended, or has carried what is no answer.
+func ReadAnswers(conn io.Reader, to thrift.Asker) {
 	in := readbuffer.New(thrift.MaxFrame + 4)
 	for {
 		frame, size, err := thrift.Frame(in.Bytes())
 		if err == nil && size == 0 {
-			err = in.Fill(c)
+			err = in.Fill(conn)
 		}
 		if err == nil && size > 0 {
-			err = thrift.DecodeAnswer(frame, c)
+			err = thrift.DecodeAnswer(frame, to)
 			in.Take(size)
 		}
 		if err != nil {
-			c.fail()
 			return
 		}
 	}
