rehearse: the values of an experiment's three forms are one type

Nine functions had the same switch over the brief, the long and the usual form. forms[T] names the three values and picks one. go test ./cmd/rehearse -run 'TestScale|TestSizeAt' passes.

--- a/cmd/rehearse/scale.go
+++ b/cmd/rehearse/scale.go
@@ -18,6 +18,20 @@
 	designRestartsPerDay = 81000
 )
 
+// forms is a value that an experiment has in each of its forms, such as the sizes that it runs at.
+type forms[T any] struct{ brief, usual, long T }
+
+// of returns the value in the form that is run: the shortest takes precedence over the long one.
+func (f forms[T]) of(p *play) T {
+	switch {
+	case p.brief:
+		return f.brief
+	case p.Long:
+		return f.long
+	}
+	return f.usual
+}
+
 // scalePart measures some series of the scale run.
 type scalePart struct {
 	name    string
--- a/cmd/rehearse/scale_config.go
+++ b/cmd/rehearse/scale_config.go
@@ -26,25 +26,19 @@
 
 // tenantSizes and routeSizes are what the configuration is measured at; the long form goes to the design size.
 func (p *play) tenantSizes() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, 100_000, 400_000, designTenants}
-	default:
-		return []int{1_000, 10_000, 30_000, 100_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 10_000, 30_000, 100_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, 100_000, 400_000, designTenants},
+	}.of(p)
 }
 
 func (p *play) routeSizes() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, designRoutes}
-	default:
-		return []int{1_000, 5_000, 15_000, 40_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 5_000, 15_000, 40_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, designRoutes},
+	}.of(p)
 }
 
 // configCost is what one size of the configuration costs.
--- a/cmd/rehearse/scale_distribution.go
+++ b/cmd/rehearse/scale_distribution.go
@@ -38,13 +38,11 @@
 
 // distributionSizes are the numbers of app servers.
 func (p *play) distributionSizes() []int {
-	switch {
-	case p.brief:
-		return []int{4, 8, 16, 32}
-	case p.Long:
-		return []int{1000, 2150, 4300, 8600}
-	}
-	return []int{125, 250, 500, 1000}
+	return forms[[]int]{
+		brief: []int{4, 8, 16, 32},
+		usual: []int{125, 250, 500, 1000},
+		long:  []int{1000, 2150, 4300, 8600},
+	}.of(p)
 }
 
 // distributedServices is how many services there are: in the shortest form so few that a handful of app servers serves them all.
--- a/cmd/rehearse/scale_rpc.go
+++ b/cmd/rehearse/scale_rpc.go
@@ -67,14 +67,11 @@
 
 // connectionSizes are how many connections are open.
 func (p *play) connectionSizes() []int {
-	switch {
-	case p.brief:
-		return []int{4, 8, 16, 32}
-	case p.Long:
-		return []int{10, 100, 1_000, 2_000, 4_000, 10_000}
-	default:
-		return []int{10, 100, 1_000, 4_000}
-	}
+	return forms[[]int]{
+		brief: []int{4, 8, 16, 32},
+		usual: []int{10, 100, 1_000, 4_000},
+		long:  []int{10, 100, 1_000, 2_000, 4_000, 10_000},
+	}.of(p)
 }
 
 // rpcTables is the configuration under which RPCs are measured: the design size.
@@ -171,14 +168,11 @@
 }
 
 func (p *play) rpcRates() []rpcRate {
-	switch {
-	case p.brief:
-		return []rpcRate{{meanRate, 1, 200 * time.Millisecond}, {highRate, 1, 50 * time.Millisecond}}
-	case p.Long:
-		return []rpcRate{{meanRate, 6, time.Second}, {highRate, 6, 500 * time.Millisecond}}
-	default:
-		return []rpcRate{{meanRate, 3, 500 * time.Millisecond}, {highRate, 3, 250 * time.Millisecond}}
-	}
+	return forms[[]rpcRate]{
+		brief: []rpcRate{{meanRate, 1, 200 * time.Millisecond}, {highRate, 1, 50 * time.Millisecond}},
+		usual: []rpcRate{{meanRate, 3, 500 * time.Millisecond}, {highRate, 3, 250 * time.Millisecond}},
+		long:  []rpcRate{{meanRate, 6, time.Second}, {highRate, 6, 500 * time.Millisecond}},
+	}.of(p)
 }
 
 // measureRPC measures what the program adds to an RPC against open connections, with tables of the design size in memory,
@@ -260,26 +254,20 @@
 
 // changingTenants are how many tenants the configuration has that changes while RPCs are served.
 func (p *play) changingTenants() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, 100_000, 300_000}
-	default:
-		return []int{1_000, 4_000, 12_000, 40_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 4_000, 12_000, 40_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, 100_000, 300_000},
+	}.of(p)
 }
 
 // changingRate is at which RPCs are sent at each size; but for the shortest form a round has a change or more in it.
 func (p *play) changingRate() rpcRate {
-	switch {
-	case p.brief:
-		return rpcRate{meanRate, 1, 200 * time.Millisecond}
-	case p.Long:
-		return rpcRate{meanRate, 6, changePeriod}
-	default:
-		return rpcRate{meanRate, 3, changePeriod}
-	}
+	return forms[rpcRate]{
+		brief: rpcRate{meanRate, 1, 200 * time.Millisecond},
+		usual: rpcRate{meanRate, 3, changePeriod},
+		long:  rpcRate{meanRate, 6, changePeriod},
+	}.of(p)
 }
 
 // measureRPCUnderChanges measures what the program adds to an RPC while its configuration changes as often as at the design
--- a/cmd/rehearse/scale_start.go
+++ b/cmd/rehearse/scale_start.go
@@ -86,14 +86,11 @@
 
 // memberSizes are how many members a start is measured among.
 func (p *play) memberSizes() []int {
-	switch {
-	case p.brief:
-		return []int{2, 3, 4, 5}
-	case p.Long:
-		return []int{10, 30, 60, 100, 200}
-	default:
-		return []int{5, 10, 20, 40}
-	}
+	return forms[[]int]{
+		brief: []int{2, 3, 4, 5},
+		usual: []int{5, 10, 20, 40},
+		long:  []int{10, 30, 60, 100, 200},
+	}.of(p)
 }
 
 // measureStartMembers measures a start against the members of the fleet: until the program serves, and until its view has
--- a/cmd/rehearse/scale_view.go
+++ b/cmd/rehearse/scale_view.go
@@ -20,13 +20,11 @@
 
 // pureSizes are the sizes at which the view's machine runs alone.
 func (p *play) pureSizes() []int {
-	switch {
-	case p.brief:
-		return []int{20, 40, 80, 160}
-	case p.Long:
-		return []int{300, 1000, 3000, 8600, 17200}
-	}
-	return []int{300, 1000, 3000, 8600}
+	return forms[[]int]{
+		brief: []int{20, 40, 80, 160},
+		usual: []int{300, 1000, 3000, 8600},
+		long:  []int{300, 1000, 3000, 8600, 17200},
+	}.of(p)
 }
 
 // pureSeconds is how many seconds are simulated at each size.
