rehearse: clusters, pressure settings and violations are set up in one place each

go test ./cmd/rehearse -run 'TestView|TestViewFaults|TestPressure|TestRestart|TestClient' passes on a quiet machine (load 3 to 5). Before any change the package failed whole at load 18: answers up to 2 s late in 1322 places, the machine's.

--- a/cmd/rehearse/client.go
+++ b/cmd/rehearse/client.go
@@ -75,11 +75,10 @@
 func playClient(p *play) error {
 	rig.Prepare()
 	goroutines, open := runtime.NumGoroutine(), descriptors()
-	var violations []rig.Violation
+	var violations violationLog
 	sums := map[string]float64{}
 	note := func(c *rig.Checker) {
-		c.Finish()
-		violations = append(violations, c.Violations()...)
+		violations.collect(c)
 		for _, name := range []string{"refused.retried", "late.sent", "double.runs", "unanswered"} {
 			sums[name] += float64(c.Count(name))
 		}
@@ -96,13 +95,7 @@
 	for _, name := range []string{"refused.retried", "late.sent", "double.runs", "unanswered"} {
 		p.exactly(name, sums[name], 0)
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for k, b := range violations {
-		if k == 10 {
-			break
-		}
-		p.say("%s", b)
-	}
+	violations.report(p)
 	// What a closed socket's owner still has to do takes a moment.
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end) &&
 		(runtime.NumGoroutine() > goroutines || descriptors() > open); {
--- a/cmd/rehearse/pressure.go
+++ b/cmd/rehearse/pressure.go
@@ -12,53 +12,61 @@
 	"valveglade/rig"
 )
 
-// playPressure is the experiment on shedding before falling behind.
-func playPressure(p *play) error {
-	dir, err := os.MkdirTemp("", "pressure")
+// pressureTrial is what the parts of an experiment on pressure share: settings with the shedding on and off, and what the checkers
+// found.
+type pressureTrial struct {
+	directory  string
+	arguments  map[bool][]string // of the program, by whether it sheds
+	violations violationLog
+}
+
+// newPressureTrial writes the settings files. The caller closes the trial.
+func newPressureTrial() (*pressureTrial, error) {
+	directory, err := os.MkdirTemp("", "pressure")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer os.RemoveAll(dir)
-	args, err := laws(dir, "on.conf", "pressure on")
-	if err != nil {
-		return err
+	t := &pressureTrial{directory: directory, arguments: map[bool][]string{}}
+	for on, word := range map[bool]string{true: "on", false: "off"} {
+		if t.arguments[on], err = laws(directory, word+".conf", "pressure "+word); err != nil {
+			t.close()
+			return nil, err
+		}
 	}
-	offArgs, err := laws(dir, "off.conf", "pressure off")
+	return t, nil
+}
+
+func (t *pressureTrial) close() { os.RemoveAll(t.directory) }
+
+// of returns the program's arguments with the shedding on or off.
+func (t *pressureTrial) of(on bool) []string { return t.arguments[on] }
+
+// playPressure is the experiment on shedding before falling behind.
+func playPressure(p *play) error {
+	t, err := newPressureTrial()
 	if err != nil {
 		return err
 	}
-	of := func(on bool) []string {
-		if on {
-			return args
-		}
-		return offArgs
-	}
-	var violations []rig.Violation
-	note := func(c *rig.Checker) {
-		c.Finish()
-		violations = append(violations, c.Violations()...)
-	}
-	if err := p.tripling(of, note); err != nil {
+	defer t.close()
+	note := t.violations.collect
+	if err := p.tripling(t.of, note); err != nil {
 		return err
 	}
-	if err := p.leak(dir, note); err != nil {
+	if err := p.leak(t.directory, note); err != nil {
 		return err
 	}
-	if err := p.fewCores(of, note); err != nil {
+	if err := p.fewCores(t.of, note); err != nil {
 		return err
 	}
-	if err := p.edge(of, note); err != nil {
+	if err := p.edge(t.of, note); err != nil {
 		return err
 	}
 	if !p.brief {
-		if err := p.calmCost(of, note); err != nil {
+		if err := p.calmCost(t.of, note); err != nil {
 			return err
 		}
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for _, b := range violations[:min(len(violations), 10)] {
-		p.say("%s", b)
-	}
+	t.violations.report(p)
 	return nil
 }
 
@@ -336,33 +344,21 @@
 
 // playEdge holds the load at the edge for two minutes.
 func playEdge(p *play) error {
-	dir, err := os.MkdirTemp("", "edge")
+	t, err := newPressureTrial()
 	if err != nil {
 		return err
 	}
-	defer os.RemoveAll(dir)
-	args, err := laws(dir, "on.conf", "pressure on")
-	if err != nil {
-		return err
-	}
-	of := func(bool) []string { return args }
-	bears, err := p.capacity(args)
+	defer t.close()
+	bears, err := p.capacity(t.of(true))
 	if err != nil {
 		return err
 	}
 	p.inform("bears.rpcs.per.s", bears)
 	p.Long = true
-	var violations []rig.Violation
-	if err := p.edge(of, func(c *rig.Checker) {
-		c.Finish()
-		violations = append(violations, c.Violations()...)
-	}); err != nil {
+	if err := p.edge(t.of, t.violations.collect); err != nil {
 		return err
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for _, b := range violations[:min(len(violations), 10)] {
-		p.say("%s", b)
-	}
+	t.violations.report(p)
 	return nil
 }
 
--- a/cmd/rehearse/restart.go
+++ b/cmd/rehearse/restart.go
@@ -78,15 +78,12 @@
 	f.stopIdle()
 	f.stopLoad()
 	p.restartLeftOver(f, before)
-	f.check.Finish()
-	violations := f.check.Violations()
+	var violations violationLog
+	violations.collect(f.check)
 	for _, name := range []string{"turned.away", "crossed"} {
 		p.inform(name, float64(f.check.Count(name)))
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for _, b := range violations[:min(len(violations), 10)] {
-		p.say("%s", b)
-	}
+	violations.report(p)
 	return nil
 }
 
--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -19,25 +18,15 @@
 // all at once, beside the same processes with the fleet off.
 func playView(p *play) error {
 	const n = 12
-	f := &flock{}
-	defer f.close()
-	var on, off *rig.Cluster
-	var group sync.WaitGroup
-	var errOn, errOff error
-	began := time.Now()
-	group.Go(func() { on, errOn = rig.NewCluster(p.plan(n)) })
 	plan := p.plan(n)
 	plan.Off = true
-	group.Go(func() { off, errOff = rig.NewCluster(plan) })
-	group.Wait()
-	for _, s := range []*rig.Cluster{on, off} {
-		if s != nil {
-			f.clusters = append(f.clusters, s)
-		}
-	}
-	if err := errors.Join(errOn, errOff); err != nil {
+	began := time.Now()
+	f, err := startClusters(p.plan(n), plan)
+	if err != nil {
 		return err
 	}
+	defer f.close()
+	on, off := f.clusters[0], f.clusters[1]
 	all := names(n)
 	p.untilAlike(on, 15*time.Second, n, all)
 	p.atMost("joined.all", time.Since(began).Seconds(), 10)
@@ -175,22 +164,13 @@
 // playViewFaults is the experiment on the view between faults of the network, beside the gossip library alone.
 func playViewFaults(p *play) error {
 	const n = 12
-	f := &flock{}
-	defer f.close()
-	var on, bare *rig.Cluster
-	var group sync.WaitGroup
-	var errOn, errBare error
-	group.Go(func() { on, errOn = rig.NewCluster(p.plan(n)) })
-	group.Go(func() { bare, errBare = rig.NewCluster(p.bare(n)) })
-	group.Wait()
-	for _, s := range []*rig.Cluster{on, bare} {
-		if s != nil {
-			f.clusters = append(f.clusters, s)
-		}
-	}
-	if err := errors.Join(errOn, errBare); err != nil {
+	f, err := startClusters(p.plan(n), p.bare(n))
+	if err != nil {
 		return err
 	}
+	defer f.close()
+	on, bare := f.clusters[0], f.clusters[1]
+	var group sync.WaitGroup
 	all := names(n)
 	p.atMost("joined.all", p.untilAlike(on, 15*time.Second, n, all), 10)
 	p.inform("joined.all.bare", p.untilAlike(bare, 15*time.Second, n, all))
--- a/cmd/rehearse/viewcluster.go
+++ b/cmd/rehearse/viewcluster.go
@@ -34,13 +34,31 @@
 // rigSlack is what the checker allows: with many processes on a few cores, that is mostly the machine's.
 const rigSlack = 300 * time.Millisecond
 
-// flock is some process clusters that live through the same.
-type flock struct {
-	clusters []*rig.Cluster
+// clusterGroup is some process clusters that undergo the same faults.
+type clusterGroup struct {
+	clusters []*rig.Cluster // in the order of their plans
+}
+
+// startClusters starts a process cluster for each plan, at the same time. The caller closes the group; after an error there is none.
+func startClusters(plans ...rig.Plan) (*clusterGroup, error) {
+	clusters := make([]*rig.Cluster, len(plans))
+	errs := make([]error, len(plans))
+	var group sync.WaitGroup
+	for k, plan := range plans {
+		group.Go(func() { clusters[k], errs[k] = rig.NewCluster(plan) })
+	}
+	group.Wait()
+	f := &clusterGroup{clusters: clusters}
+	if err := errors.Join(errs...); err != nil {
+		f.clusters = slices.DeleteFunc(f.clusters, func(c *rig.Cluster) bool { return c == nil })
+		f.close()
+		return nil, err
+	}
+	return f, nil
 }
 
 // all does something to each process cluster at the same time.
-func (f *flock) all(do func(*rig.Cluster) error) error {
+func (f *clusterGroup) all(do func(*rig.Cluster) error) error {
 	errs := make([]error, len(f.clusters))
 	var group sync.WaitGroup
 	for k, s := range f.clusters {
@@ -50,7 +68,7 @@
 	return errors.Join(errs...)
 }
 
-func (f *flock) close() {
+func (f *clusterGroup) close() {
 	var group sync.WaitGroup
 	for _, s := range f.clusters {
 		group.Go(s.Close)
