--- /dev/null
+++ b/rig/hollow/crowd_probe.go
@@ -0,0 +1,79 @@
+package hollow
+
+import (
+	"slices"
+	"time"
+)
+
+// drainPings is how many probes a millisecond drain a target's queue: an answer takes some of what waits along.
+const drainPings = 1
+
+// probe sends each target a probe from somebody in every interval, and many while its queue is drained.
+func (c *Crowd) probe() {
+	next := time.Now()
+	for number := uint32(1); ; number++ {
+		c.mu.Lock()
+		fast := c.fast
+		targets := slices.Clone(c.targets)
+		c.mu.Unlock()
+		select {
+		case <-c.closed:
+			return
+		case <-time.After(2 * time.Millisecond):
+		}
+		if !fast && time.Now().Before(next) {
+			continue
+		}
+		next = time.Now().Add(probeEvery)
+		times := 1
+		if fast {
+			times = 2 * drainPings
+		}
+		for _, t := range targets {
+			for range times {
+				c.ping(t, number)
+			}
+		}
+	}
+}
+
+func (c *Crowd) ping(t *Target, number uint32) {
+	c.mu.Lock()
+	s, node := c.sockets[c.random.IntN(len(c.sockets))], t.Pinged
+	c.mu.Unlock()
+	if node == "" {
+		return
+	}
+	message := encodeMessage(msgPing, pingMessage{SeqNo: number, Node: node, SourceAddr: s.address.Addr().AsSlice(),
+		SourcePort: s.address.Port(), SourceNode: "crowd"})
+	s.packets.WriteToUDPAddrPort(sealGossip(message), t.Address)
+}
+
+// drainedAck is the mean size in bytes of answers to probes of members that have nothing more to pass on, at the most.
+const drainedAck = 250
+
+// Drain has the targets pass on, in answers to many probes, what their joining left in their queues; it tells whether that was
+// done within a time. It only shortens what the program does by itself at three packets a round.
+func (c *Crowd) Drain(within time.Duration) bool {
+	c.mu.Lock()
+	c.fast = true
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		c.fast = false
+		c.mu.Unlock()
+	}()
+	for until := time.Now().Add(within); time.Now().Before(until); {
+		c.mu.Lock()
+		c.acks, c.ackSize = 0, 0
+		c.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		c.mu.Lock()
+		drained := c.acks > 10 && c.ackSize < drainedAck*c.acks
+		c.mu.Unlock()
+		if drained {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rig/hollow/crowd_restart.go
@@ -0,0 +1,72 @@
+package hollow
+
+import (
+	"time"
+
+	"valveglade/logic/view"
+)
+
+// Restart plays the restart of one member, as the program tells it, and the words that its new process passes on of all that it
+// has learnt: so many of them reach each target as of any message.
+func (c *Crowd) Restart(k int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, times := time.Now(), retransmits(c.size)
+	m := &c.members[k]
+	if m.down {
+		return
+	}
+	m.incarnation++
+	m.entry.State = view.Leaving
+	c.spread(now, c.alive(k), times)
+	old := nodeName(m.entry)
+	c.spread(now.Add(seconds(goneAfter)), encodeMessage(msgDead, claimMessage{m.incarnation, old, old}), times)
+	c.reborn(k)
+	m.entry.State = view.Cold
+	c.spread(now.Add(seconds(backAfter)), c.alive(k), times)
+	m.incarnation, m.entry.State = 2, view.Serving
+	c.spread(now.Add(seconds(servingAfter)), c.alive(k), times)
+	for range times {
+		c.spread(now.Add(time.Duration(c.random.Float64()*float64(spreadOver))), c.alive(c.random.IntN(len(c.members))), 1)
+	}
+}
+
+// reborn gives a member another incarnation, under the lock.
+func (c *Crowd) reborn(k int) {
+	m := &c.members[k]
+	m.entry.Incarnation.Number++
+	m.entry.Incarnation.Nonce += 1 << 16
+	m.incarnation, m.down = 1, false
+	c.byNode[nodeName(m.entry)] = k
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Lose has some members die at one time: they answer no more, two others accuse each, and it is dead once that has stood.
+func (c *Crowd) Lose(first, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, times := time.Now(), retransmits(c.size)
+	for k := first; k < first+count; k++ {
+		m := &c.members[k]
+		m.down = true
+		node := nodeName(m.entry)
+		found := now.Add(probeEvery/2 + time.Duration(c.random.Float64()*2*float64(probeEvery)))
+		for accuser := range 2 {
+			from := nodeName(c.members[(first+count+k+accuser)%len(c.members)].entry)
+			c.spread(found, encodeMessage(msgSuspect, claimMessage{m.incarnation, node, from}), times)
+		}
+		from := nodeName(c.members[(first+count+k)%len(c.members)].entry)
+		c.spread(found.Add(suspicionTimeout(c.size)), encodeMessage(msgDead, claimMessage{m.incarnation, node, from}), times)
+	}
+}
+
+// Return has members that were lost come back with new processes, serving at once.
+func (c *Crowd) Return(first, count int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k := first; k < first+count; k++ {
+		c.reborn(k)
+		c.spread(time.Now().Add(time.Duration(c.random.Float64()*float64(time.Second))), c.alive(k), retransmits(c.size))
+	}
+}
