--- /dev/null
+++ b/cmd/rehearse/faults_server.go
@@ -0,0 +1,219 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"valveglade/rig"
+	"valveglade/rig/drawn"
+)
+
+// trialServer is one app server of a trial, with its surroundings.
+type trialServer struct {
+	*trial
+	number  int
+	program *rig.Program
+	net     *rig.Net // between the routers and it
+	probe   *rig.HealthProbe
+	peers   []*rig.Peer
+	calls   trialCalls
+	kills   atomic.Int64 // processes that have ended: tokens do not outlive them
+
+	life       sync.Mutex // held while the process is started or ended
+	mu         sync.Mutex
+	launched   time.Time // zero while there is no process
+	excused    time.Time // until when it may be silent: it was stopped
+	paused     bool
+	restarted  bool
+	ready      bool // the probe has seen it ready
+	logs       string
+	linkFaults rig.LinkFaults
+	disturbed  bool     // a fault was inflicted on it
+	badTold    int      // bad clients that were told something
+	badIgnored []string // kinds of bad clients that were told nothing
+}
+
+func (t *trial) newServer(number int) (*trialServer, error) {
+	s := &trialServer{trial: t, number: number}
+	name := serverName(number)
+	program, err := rig.NewProgram(rig.ProgramPlan{Name: name, Binary: t.p.Program, Args: t.p.programArgs, Site: t.site(), Kernel: t.kernel(number), Folder: t.folder,
+		Roster: t.roster.Address(), Check: t.check, Config: s.config})
+	if err != nil {
+		return nil, err
+	}
+	s.program = program
+	s.probe = rig.NewHealthProbe(program.Address)
+	if s.net, err = rig.NewNet(name, program.Address, t.check); err != nil {
+		return nil, err
+	}
+	if t.drawn.Load.Pieces > 0 {
+		s.net.Pieces(t.drawn.Seed)
+	}
+	for k := range t.drawn.Load.Routers {
+		form := t.form()
+		if k > 0 {
+			form.Pieces = 0
+		}
+		s.peers = append(s.peers, rig.NewPeer(s.net.Address(), 10*number+k, form, t.catalog, t.drawn.Seed+uint64(number)<<32))
+	}
+	return s, nil
+}
+
+func serverName(number int) string { return fmt.Sprintf("n%d", number+1) }
+
+// site is what the rig itself goes by.
+func (t *trial) site() rig.Site {
+	return rig.Site{MemoryMB: int(t.told.Limits.MemoryMB), Sockets: int(t.told.Limits.Sockets),
+		Stop: seconds64(t.told.StopMS / 1000), Grace: seconds64(t.told.Settings.Rules.StopSendingWithinS), OneCore: true}
+}
+
+// form is how routers write under the settings.
+func (t *trial) form() rig.PeerForm {
+	return rig.PeerForm{PassesDeadline: t.told.PassesDeadline(), HangupSeen: t.told.HangupSeen(),
+		MarksRetry: t.told.Settings.Clients.MarksRetry, Tenants: len(t.told.Settings.Accounts), Pieces: t.drawn.Load.Pieces}
+}
+
+func (s *trialServer) config(p *rig.Program) string { return s.configFor(p.Kernel.Address()) }
+
+func (s *trialServer) configFor(kernel string) string {
+	return s.drawn.Settings.Config(drawn.Addresses{Name: s.program.Name, Listen: s.program.Address, Kernel: kernel, Roster: s.program.Roster()})
+}
+
+// launch starts the process.
+func (s *trialServer) launch() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	s.begin()
+}
+
+// begin is launch under the lock of its life.
+func (s *trialServer) begin() {
+	if err := s.program.Launch(); err != nil {
+		s.check.Failed("%s cannot be started: %v", s.program.Name, err)
+		return
+	}
+	s.probe.Begin()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.launched, s.paused, s.excused, s.ready = time.Now(), false, time.Time{}, false
+}
+
+// down notes that there is no process any more.
+func (s *trialServer) down() {
+	s.kills.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.launched = time.Time{}
+	s.logs = s.program.Log()
+}
+
+// watch looks whether the process answers health checks while it runs.
+func (s *trialServer) watch(ctx context.Context) {
+	var waits []time.Duration // of the last second
+	for ctx.Err() == nil {
+		s.look()
+		time.Sleep(lookEvery)
+		if waits = append(waits, s.program.Waited()); len(waits) > int(time.Second/lookEvery) {
+			waits = waits[1:]
+		}
+		s.noteWait(waits[len(waits)-1] - waits[0]) // below 0 over a restart
+	}
+}
+
+// lookEvery is between two looks at a process.
+const lookEvery = 50 * time.Millisecond
+
+func (s *trialServer) look() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.launched.IsZero() || s.paused || !s.program.Running() {
+		return
+	}
+	if ready := s.probe.Ready(); !s.ready && !ready.IsZero() {
+		s.ready = true
+	}
+	last := latest(latest(s.launched, s.excused), s.probe.Answered())
+	if silent := time.Since(last); silent > trialMute {
+		s.violate("rule 4: %s answers nobody for %.1f s", s.program.Name, silent.Seconds())
+		s.excused = time.Now().Add(time.Hour) // once is enough
+	}
+	if takes, limit := s.program.Resident(), int64(s.told.Limits.MemoryMB)<<20; takes > limit {
+		s.violate("rule 4: %s takes %d MB of %d", s.program.Name, takes>>20, limit>>20)
+	}
+	if holds := s.program.Descriptors(); holds > int(s.told.Limits.Sockets) {
+		s.violate("rule 4: %s holds %d descriptors of %d", s.program.Name, holds, int(s.told.Limits.Sockets))
+	}
+}
+
+// rest waits until the app server owes nothing, and measures the processor time that it takes without work.
+func (s *trialServer) rest() {
+	if !s.program.Running() {
+		return
+	}
+	var err error
+	for range 3 { // work that is left over may take one of them
+		if err = s.program.Resting(trialRest, trialIdle); err == nil {
+			return
+		}
+	}
+	s.violate("rule 4: %s: %v", s.program.Name, err)
+}
+
+// stop tells the process to leave, and waits for its end.
+func (s *trialServer) stop() {
+	s.life.Lock()
+	defer s.life.Unlock()
+	if !s.program.Running() {
+		s.down()
+		return
+	}
+	if err := s.program.Stop(); err != nil {
+		s.violate("rule 3: %v", err)
+	}
+	s.down()
+}
+
+// judge looks at the log and at what was served.
+func (s *trialServer) judge() {
+	if s.p.Logs != "" {
+		name := filepath.Join(s.p.Logs, fmt.Sprintf("%d-%s.log", s.drawn.Seed, s.program.Name))
+		if err := os.WriteFile(name, []byte(s.logs), 0o644); err != nil {
+			s.p.say("%v", err)
+		}
+	}
+	for _, word := range []string{"panic:", "fatal error:", "DATA RACE"} {
+		if at := strings.Index(s.logs, word); at >= 0 {
+			s.violate("rule 4: %s logs %q: %.600s", s.program.Name, word, s.logs[at:])
+			break
+		}
+	}
+	s.calls.judge(s)
+}
+
+// lastWords are the last lines of what the process logged, for those who look into a trial.
+func (s *trialServer) lastWords() string {
+	lines := strings.Split(strings.TrimSpace(s.logs), "\n")
+	return strings.Join(lines[max(len(lines)-lastLines, 0):], "\n")
+}
+
+// lastLines are shown of a log.
+const lastLines = 3
+
+// clear ends the process and what surrounds it.
+func (s *trialServer) clear() {
+	s.probe.Close()
+	for _, p := range s.peers {
+		p.Close()
+	}
+	s.net.Close()
+	if s.program.Running() {
+		s.program.Kill()
+	}
+	s.program.Kernel.Close()
+}
