--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -350,6 +351,45 @@
 func (n *answerName) Checked(int32, bool, float64)             { *n = "checked" }
 func (n *answerName) Draining()                                { *n = "draining" }
 
+// Names of methods of any bytes reach the kernel as they came.
+func Example_methodNames() {
+	names := []string{"a", " ", `"quoted"`, "<&>", "Überweisung 転送", "17", "1e3", "\x00\x7f", "\u2028", strings.Repeat("long ", 100)}
+	t := open(func(c *config.Config) {
+		c.Methods, c.Rules.Methods = names, slices.Repeat(c.Rules.Methods[:1], len(names))
+	})
+	r := t.dial()
+	for k, name := range names {
+		seq := k + 1
+		r.execute(seq, "op", name)
+		fmt.Println(next(t.runs) == strings.TrimSpace(fmt.Sprintf("SCHED %x %s body %d", seq, name, seq)))
+		t.reap(seq, "fine", "done")
+		r.hear(1)
+	}
+	t.close()
+	// Output:
+	// true
+	// router: 1 ok "done" good 1
+	// true
+	// router: 2 ok "done" good 1
+	// true
+	// router: 3 ok "done" good 1
+	// true
+	// router: 4 ok "done" good 1
+	// true
+	// router: 5 ok "done" good 1
+	// true
+	// router: 6 ok "done" good 1
+	// true
+	// router: 7 ok "done" good 1
+	// true
+	// router: 8 ok "done" good 1
+	// true
+	// router: 9 ok "done" good 1
+	// true
+	// router: 10 ok "done" good 1
+	// served: <nil>
+}
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
