--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -41,7 +41,7 @@
 	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
 	if c.held.Add(k.size()) > int64(c.config.Load().Memory/heldShare) {
 		c.held.Add(-k.size())
-		c.lacksMemory(seq, token, recv)
+		c.lacksMemory(seq, method, token, recv)
 		return
 	}
 	c.mu.Lock()
@@ -62,7 +62,7 @@
 // has begun is not refused: a repeat of it goes to the gate.
 func (c *conn) turnsAway(seq int32, method int, token []byte, recv float64, size int) bool {
 	e := c.press.effects.Load()
-	if size <= e.Largest && c.press.lets(method) || c.tokened(method) && len(token) > 0 && c.gate.Knows(string(token), recv) {
+	if size <= e.Largest && c.press.lets(method) || c.tokened(method) && len(token) > 0 && c.gate.Knows(method, string(token), recv) {
 		return false
 	}
 	c.press.refused.Add(1)
@@ -71,9 +71,9 @@
 }
 
 // lacksMemory answers an RPC for which there is no room: it has not run, unless it repeats one that may have.
-func (c *conn) lacksMemory(seq int32, token string, recv float64) {
+func (c *conn) lacksMemory(seq int32, method int, token string, recv float64) {
 	c.limited.Warn("no memory for an RPC", zap.Stringer("router", c.RemoteAddr()))
-	if token != "" && c.gate.Knows(token, recv) {
+	if token != "" && c.gate.Knows(method, token, recv) {
 		c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
 		return
 	}
