--- /dev/null
+++ b/server/runs.go
@@ -0,0 +1,58 @@
+package server
+
+import (
+	"errors"
+	"math"
+
+	"go.uber.org/zap"
+
+	"valveglade/gate"
+	"valveglade/internal/kernel"
+	"valveglade/rpc"
+)
+
+// run is a call which the kernel was asked to run.
+type run struct {
+	id gate.ID
+	*call
+}
+
+// Booted is the kernel's first word.
+func (s *Server) Booted(ago float64, cold bool) {
+	s.log.Info("kernel up", zap.Float64("for_s", ago), zap.Bool("cold", cold))
+	now := s.clock.now()
+	warm := now - ago
+	if cold {
+		warm += s.config.Load().Rules.Rules.WarmIn
+	}
+	s.warmAt.Store(int64(min(warm*1e9, math.MaxInt64/2)))
+	s.stopPanic(func() error {
+		if s.gate.Boot(now, now-ago, cold) {
+			defer signal(s.well)
+			close(s.up)
+		}
+		return nil
+	})
+}
+
+// Ended is the kernel's word on a run.
+func (s *Server) Ended(r *run, took float64, result []byte, err error) {
+	how := rpc.OK
+	if attempt := (*kernel.Attempt)(nil); errors.As(err, &attempt) {
+		switch {
+		case attempt.Reach == kernel.NeverRan:
+			how = rpc.Moot
+			if attempt.Unknown {
+				r.conn.odd.Add(1)
+			}
+		case attempt.Stopped:
+			how = rpc.Cancelled
+		default:
+			how = rpc.Error
+		}
+	}
+	s.stopPanic(func() error {
+		s.gate.Report(s.clock.now(), r.id, how, took, result)
+		return nil
+	})
+}
