Each router hears draining before its end, however late; architecture: ends, time, log

leave() tells each connection before it ends it, also where the process comes to its turn only past that stage.

--- a/server/drain.go
+++ b/server/drain.go
@@ -72,13 +72,12 @@
 		}
 		s.mu.Lock()
 		for c := range s.conns {
+			c.drain() // whatever the stage: its router is told before it sees the end
 			switch {
 			case s.clock.now() > stop-spans.cutShort:
 				c.cutShort()
 			case s.stageAt.Load() == int32(stageClosing):
 				c.end()
-			default:
-				c.drain()
 			}
 		}
 		n := len(s.conns)
