--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -133,7 +133,7 @@
 	case "BOOTED":
 		if !r.booted {
 			r.booted = true
-			r.owner.Booted(n.Took/1000, n.Code == "starting")
+			r.owner.Booted(max(n.Took, 0)/1000, n.Code == "starting")
 			r.sync()
 			up()
 		}
@@ -167,8 +167,9 @@
 	if end != nil {
 		n.Content = nil // a run that failed has no result
 	}
-	r.took(n.Took / 1000)
-	if !r.ended(n.UID, n.Took/1000, n.Content, end) && !r.strange {
+	took := max(n.Took, 0) / 1000
+	r.took(took)
+	if !r.ended(n.UID, took, n.Content, end) && !r.strange {
 		r.strange = true
 		r.log.Warn("end of a run not in hand", zap.String("run", n.UID))
 	}
