kernel: doubts from a tenth of a second on, and a second at the first

Cause: a second at least, and 20 s until a hundred runs had ended, is long for what holds a core's place: on a kernel whose link breaks several times a second, without gauges, two lost commands left a machine of two cores idle.

--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -81,7 +81,8 @@
 const (
 	silence    = 5 * time.Second        // gauges are asked for many times a second: the link is dead
 	longRun    = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
-	doubtLeast = time.Second            // given to runs in doubt where all take less than half of it
+	firstRun   = 500 * time.Millisecond // is what runs are believed to take before any has ended
+	doubtLeast = 100 * time.Millisecond // given to runs in doubt where all take less than half of it
 	askAgain   = time.Second            // a question without an answer for so long may have been lost
 	forget     = 8 * time.Second        // and after so long its answer is not expected any more
 	loss       = 100 * time.Millisecond // commands of the last 50 ms before a break may be lost, and clocks have their limits
@@ -89,7 +90,7 @@
 
 // New makes a link to the kernel at an address; nothing is opened before Serve.
 func New[K any](at netip.AddrPort, owner Owner[K], log *zap.Logger) *Link[K] {
-	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, longest: longRun, syncFor: askAgain, lossSpan: loss, handoverFor: handoverTime, moved: make(chan struct{}, 1),
+	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, longest: firstRun, syncFor: askAgain, lossSpan: loss, handoverFor: handoverTime, moved: make(chan struct{}, 1),
 		runs: map[string]*task[K]{}, work: make(chan struct{}, 1), informed: make(chan struct{}, 1), parted: make(chan struct{}, 1)}
 }
 
