--- a/internal/kernel/fault_test.go
+++ b/internal/kernel/fault_test.go
@@ -482,3 +482,43 @@
 	// true
 	// ended: <nil>
 }
+
+// The new address takes the connection and says nothing; what is decided waits, and another move ends that.
+func Example_movedTwice() {
+	c := startWith(func(l *Link[string]) { l.handoverFor = 20 * time.Second })
+	c.boot()
+	c.Run("X", "x", "look", nil, true)
+	c.hear(1) // so its first question has been answered
+	old := c.Listener
+	defer old.Close()
+	var err error
+	for moves := range 2 {
+		if c.Listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			panic(err)
+		}
+		defer c.Listener.Close()
+		c.Move(netip.MustParseAddrPort(c.Addr().String()))
+		if moves == 0 {
+			c.hear(1) // the last question on the first connection
+			c.Run("A", "a", "look", nil, true)
+		}
+		c.accept()
+		c.quiet()
+	}
+	c.say(`{"action":"BOOTED","code":"running","wall_ms":10}`)
+	c.owner(1)
+	c.hear(2)
+	c.end()
+	// Output:
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"SYSINFO","echo":"1"} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SCHED","uid":"x","lane":"look","content":""} <nil>
+	// < {"action":"SYSINFO","echo":"2"} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// < {"action":"OPEN","pos":0} <nil>
+	// booted 0.01 ago, cold false
+	// < {"action":"SYSINFO","echo":"3"} <nil>
+	// < {"action":"SCHED","uid":"a","lane":"look","content":""} <nil>
+	// ended: <nil>
+}
