--- a/gate/drawn_test.go
+++ b/gate/drawn_test.go
@@ -34,6 +34,16 @@
 		Preemption: []rpc.Preemption{"", rpc.Unstoppable, rpc.Discards, rpc.Freezes}[r.IntN(4)],
 		Signal:     []rpc.Signal{"", "none", rpc.Floor, rpc.Allowance, rpc.Weight}[r.IntN(5)],
 		Gauges:     [][]string{nil, {"on_cores"}, {"core_use", "on_cores"}, {"heap_share"}}[r.IntN(4)]}
+	c.Machine.Below = []string{"", "none", "one_for_all", "tier"}[r.IntN(4)]
+	c.Machine.CallsOut, c.Machine.CallsSpan, c.Machine.Linger = one(0, 0.3, 5), one(0, 0.1, 5), one(0, 0.2)
+	for range r.IntN(8) {
+		c.Machine.Calls = append(c.Machine.Calls, r.IntN(2) == 0)
+		c.Machine.SkipWorth = append(c.Machine.SkipWorth, one(0, 0.5))
+	}
+	for range r.IntN(3) {
+		c.Tenants = append(c.Tenants, rpc.Tenant{Quota: one(0, 1, 1e6)})
+	}
+	c.Replicas, c.OverShareWorth = r.IntN(20), one(0, 0.1)
 	c.Rules = rpc.Rules{Crowd: one(0, 1, 5, 100), Grace: one(0, 0.05, 2.5), ColdAt: one(0, 0.2, 1), WarmIn: one(0, 0.01, 18, 1e4),
 		CrowdSpan: one(0, 0.1, 1.5, 100)}
 	c.Clients.MarksRetry = r.IntN(2) == 0
