--- a/client/client.go
+++ b/client/client.go
@@ -1,13 +1,13 @@
-// Package client calls app servers, carefully: it keeps to their credit, heeds what they refuse, tries again only
-// what cannot take effect twice, and comes back spread out after an outage.
+// Package client calls app servers, carefully: it keeps to their credit, heeds what they refuse, retries only what
+// cannot take effect twice, and spreads its reconnects after an outage.
 //
 //	c, err := client.Dial("10.0.0.4:7001", "10.0.0.5:7001")
 //	...
 //	defer c.Close()
 //	r, err := c.Call(ctx, "checkout", body)
 //
-// All decisions are logic/attempt's. This package owns the sockets, the clock and the goroutines: a reader and a
-// writer for each connection, a timer, and one for lists that change. docs/client.md has the whole.
+// All decisions are made by logic/attempt. This package owns the sockets, the clock and the goroutines: a reader and a
+// writer for each connection, a timer, and one for lists that change. See docs/client.md.
 package client
 
 import (
@@ -28,7 +28,7 @@
 	"valveglade/logic/attempt"
 )
 
-// Result is what an app server made of an RPC.
+// Result is the answer to an RPC that was served.
 type Result struct {
 	Body   []byte
 	Server string
@@ -38,40 +38,40 @@
 // Client is safe for use by many goroutines.
 type Client struct {
 	options
-	born time.Time
-	unix float64 // of born, in seconds
+	started     time.Time
+	startedUnix float64 // seconds
 
-	mu      sync.Mutex
-	desk    *attempt.Desk
-	calls   []*call // by the desk's index
-	links   []*link // by the desk's index of the connection
-	numbers map[string]int
-	closed  bool
-	timer   *time.Timer
-	due     float64 // when it fires
-	told    attempt.Counts
+	mu            sync.Mutex
+	dispatcher    *attempt.Dispatcher
+	calls         []*call       // by the dispatcher's index
+	connections   []*connection // by the dispatcher's index of the connection
+	methodIndexes map[string]int
+	closed        bool
+	timer         *time.Timer
+	timerDue      float64 // when the timer fires
+	reported      attempt.Counts
 
 	ctx   context.Context // ends with Close
 	end   context.CancelFunc
 	group sync.WaitGroup
 }
 
-// call is one RPC in hand.
+// call is one open RPC.
 type call struct {
 	Method
 	name, token, row string
 	body, result     []byte
 	why              string
-	done             chan attempt.End // of one
+	done             chan attempt.Outcome // of capacity 1
 	server           string
 }
 
 const (
-	defaultDeadline = 5 * time.Second
-	connectWithin   = 2 * time.Second // for a connect: the platform's own links take milliseconds
-	mostMethods     = 256             // method names told apart in measurements; all further ones share the last
-	mostToken       = 128
-	mostMethodName  = 256
+	defaultDeadline       = 5 * time.Second
+	defaultConnectTimeout = 2 * time.Second // for a connect: the platform's own links take milliseconds
+	maxMethods            = 256             // methods measured separately; all further ones share the last index
+	maxToken              = 128
+	maxMethodName         = 256
 )
 
 // Dial is New for a fixed list of app servers.
@@ -80,17 +80,17 @@
 // New makes a client. It begins to connect at once and does not wait for it: calls wait as long as their deadline
 // allows.
 func New(opts ...Option) (*Client, error) {
-	c := &Client{numbers: map[string]int{}, born: time.Now()}
-	c.unix = float64(c.born.UnixNano()) / 1e9
+	c := &Client{methodIndexes: map[string]int{}, started: time.Now()}
+	c.startedUnix = float64(c.started.UnixNano()) / 1e9
 	for _, o := range opts {
 		o(&c.options)
 	}
 	if err := c.check(); err != nil {
 		return nil, err
 	}
-	c.terms.Seed = cmp.Or(c.terms.Seed, rand.Uint64())
+	c.config.Seed = cmp.Or(c.config.Seed, rand.Uint64())
 	c.source = cmp.Or(c.source, 1+rand.IntN(1<<30))
-	c.deadline, c.connect = cmp.Or(c.deadline, defaultDeadline), cmp.Or(c.connect, connectWithin)
+	c.deadline, c.connect = cmp.Or(c.deadline, defaultDeadline), cmp.Or(c.connect, defaultConnectTimeout)
 	if c.log == nil {
 		c.log = zap.NewNop()
 	}
@@ -100,30 +100,30 @@
 		}
 	}
 	c.ctx, c.end = context.WithCancel(context.Background())
-	c.desk = attempt.New(c.clock(), c.terms)
+	c.dispatcher = attempt.New(c.clock(), c.config)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.timer = time.AfterFunc(time.Hour, c.tick)
-	if err := c.watch(); err != nil {
+	if err := c.startWatching(); err != nil {
 		c.timer.Stop()
 		c.end()
 		return nil, err
 	}
-	c.desk.Servers(c.clock(), c.servers)
+	c.dispatcher.Servers(c.clock(), c.servers)
 	c.run()
 	return c, nil
 }
 
 func (c *Client) check() error {
-	t := &c.terms
+	t := &c.config
 	switch {
 	case len(c.servers) == 0 && c.file == "" && c.resolve == nil:
 		return errors.New("client: no app servers, no file and no resolver are given")
 	case c.resolve != nil && c.every <= 0:
 		return errors.New("client: the resolver's period is not above 0")
-	case t.Hedge < 0 || t.Start < 0 || t.Idle < 0 || t.First < 0 || t.Most < 0 || c.deadline < 0:
+	case t.HedgeAfter < 0 || t.StartSpread < 0 || t.IdleTimeout < 0 || t.FirstBackoff < 0 || t.MaxBackoff < 0 || c.deadline < 0:
 		return errors.New("client: a time is negative")
-	case t.Near < 0 || t.Conns < 0 || t.Dialing < 0 || t.Waiting < 0:
+	case t.MaxServers < 0 || t.MaxConns < 0 || t.MaxDials < 0 || t.MaxWaiting < 0:
 		return errors.New("client: a bound is negative")
 	}
 	for name, m := range c.methods {
@@ -141,7 +141,7 @@
 
 func (m *Method) check(name string) error {
 	switch {
-	case name == "" || len(name) > mostMethodName:
+	case name == "" || len(name) > maxMethodName:
 		return errors.New("its name is empty or too long")
 	case m.Kind != "" && m.Kind != Idempotent && m.Kind != Tokened && m.Kind != NonIdempotent:
 		return fmt.Errorf("kind %q is not known", m.Kind)
@@ -162,11 +162,11 @@
 }
 
 // clock is the time in Unix seconds, and does not jump.
-func (c *Client) clock() float64 { return c.unix + time.Since(c.born).Seconds() }
+func (c *Client) clock() float64 { return c.startedUnix + time.Since(c.started).Seconds() }
 
-// Call has an app server carry out one RPC. The deadline is the context's. The error is an *Error.
+// Call sends one RPC to an app server and returns its answer. The deadline is the context's. The error is an *Error.
 func (c *Client) Call(ctx context.Context, method string, body []byte, opts ...CallOption) (Result, error) {
-	k := &call{Method: c.methods[method], name: method, body: body, done: make(chan attempt.End, 1)}
+	k := &call{Method: c.methods[method], name: method, body: body, done: make(chan attempt.Outcome, 1)}
 	for _, o := range opts {
 		o(k)
 	}
@@ -174,7 +174,7 @@
 		return Result{}, &Error{Method: method, Cause: Aborted, Why: err.Error()}
 	}
 	if err := ctx.Err(); err != nil {
-		return Result{}, c.failed(k, attempt.End{Cause: causeOf(err), Again: true})
+		return Result{}, c.errorOf(k, attempt.Outcome{Cause: causeOf(err), Again: true})
 	}
 	due, ok := ctx.Deadline()
 	if !ok {
@@ -185,25 +185,25 @@
 	}
 	now := c.clock()
 	c.mu.Lock()
-	id := c.desk.Ask(now, c.number(method), k.Kind, k.Criticality, now+time.Until(due).Seconds())
+	id := c.dispatcher.Submit(now, c.methodIndex(method), k.Kind, k.Criticality, now+time.Until(due).Seconds())
 	for len(c.calls) <= id.Index {
 		c.calls = append(c.calls, nil)
 	}
 	c.calls[id.Index] = k
 	c.run()
 	c.mu.Unlock()
-	var end attempt.End
+	var end attempt.Outcome
 	select {
 	case end = <-k.done:
 	case <-ctx.Done():
 		c.mu.Lock()
-		c.desk.Gone(c.clock(), id, causeOf(ctx.Err()) == Late)
+		c.dispatcher.Abandon(c.clock(), id, causeOf(ctx.Err()) == Late)
 		c.run()
 		c.mu.Unlock()
 		end = <-k.done
 	}
 	if end.Cause != attempt.Served {
-		return Result{}, c.failed(k, end)
+		return Result{}, c.errorOf(k, end)
 	}
 	return Result{Body: k.result, Server: k.server, Tries: end.Tries}, nil
 }
@@ -215,12 +215,12 @@
 	return Canceled
 }
 
-func (c *Client) failed(k *call, e attempt.End) error {
+func (c *Client) errorOf(k *call, e attempt.Outcome) error {
 	return &Error{Method: k.name, Server: k.server, Cause: e.Cause, Reach: e.Reach, Tries: e.Tries, Again: e.Again,
 		After: time.Duration(e.After * float64(time.Second)), Why: k.why}
 }
 
-// check refuses before anything is sent what no app server would take, and fills in what is left out.
+// check refuses, before anything is sent, what no app server would accept, and fills in what is left out.
 func (k *call) check() error {
 	if err := k.Method.check(k.name); err != nil {
 		return err
@@ -229,10 +229,10 @@
 	switch {
 	case len(k.body) > thrift.MaxBody:
 		return fmt.Errorf("a body of %d bytes, %d at most", len(k.body), thrift.MaxBody)
-	case len(k.token) > mostToken:
-		return fmt.Errorf("a token of %d bytes, %d at most", len(k.token), mostToken)
-	case len(k.row) > mostToken:
-		return fmt.Errorf("a row of %d bytes, %d at most", len(k.row), mostToken)
+	case len(k.token) > maxToken:
+		return fmt.Errorf("a token of %d bytes, %d at most", len(k.token), maxToken)
+	case len(k.row) > maxToken:
+		return fmt.Errorf("a row of %d bytes, %d at most", len(k.row), maxToken)
 	case k.token != "" && k.Kind != Tokened:
 		return fmt.Errorf("a token with a method of kind %q", k.Kind)
 	case k.token == "" && k.Kind == Tokened:
@@ -246,14 +246,14 @@
 	return nil
 }
 
-// number is the index under which a method is measured.
-func (c *Client) number(method string) int {
-	n, ok := c.numbers[method]
+// methodIndex returns the index under which a method is measured.
+func (c *Client) methodIndex(method string) int {
+	n, ok := c.methodIndexes[method]
 	if !ok {
-		if n = len(c.numbers); n >= mostMethods {
-			return mostMethods
+		if n = len(c.methodIndexes); n >= maxMethods {
+			return maxMethods
 		}
-		c.numbers[method] = n
+		c.methodIndexes[method] = n
 	}
 	return n
 }
@@ -265,7 +265,7 @@
 		c.closed = true
 		c.end()
 		c.timer.Stop()
-		c.desk.Close(c.clock())
+		c.dispatcher.Close(c.clock())
 		c.run()
 	}
 	c.mu.Unlock()
@@ -277,74 +277,74 @@
 func (c *Client) Counts() attempt.Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.desk.Count
+	return c.dispatcher.Count
 }
 
-// tick is the timer.
+// tick runs when the timer fires.
 func (c *Client) tick() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return
 	}
-	c.due = 0
-	c.desk.Tick(c.clock())
+	c.timerDue = 0
+	c.dispatcher.Tick(c.clock())
 	c.run()
 }
 
-// longestSleep bounds the timer, should the desk want nothing.
+// longestSleep bounds the timer in seconds, should the dispatcher ask for no Tick.
 const longestSleep = 60.0
 
-// run does what the desk ordered and sets the timer; it is called under the lock.
+// run carries out the dispatcher's actions and sets the timer. It is called under the lock.
 func (c *Client) run() {
-	for k := 0; k < len(c.desk.Orders); k++ {
-		c.do(c.desk.Orders[k])
+	for k := 0; k < len(c.dispatcher.Actions); k++ {
+		c.do(c.dispatcher.Actions[k])
 	}
-	c.desk.Orders = c.desk.Orders[:0]
+	c.dispatcher.Actions = c.dispatcher.Actions[:0]
 	if c.closed {
 		return
 	}
 	now := c.clock()
-	if wake := min(c.desk.Wake(), now+longestSleep); c.due <= now || wake < c.due {
-		c.due = max(wake, now)
-		c.timer.Reset(time.Duration((c.due - now) * float64(time.Second)))
+	if wake := min(c.dispatcher.Wake(), now+longestSleep); c.timerDue <= now || wake < c.timerDue {
+		c.timerDue = max(wake, now)
+		c.timer.Reset(time.Duration((c.timerDue - now) * float64(time.Second)))
 	}
 	if c.meter != nil {
 		c.measure()
 	}
 }
 
-func (c *Client) do(o attempt.Order) {
-	switch o.Do {
+func (c *Client) do(o attempt.Action) {
+	switch o.Kind {
 	case attempt.Send:
 		k := c.calls[o.RPC.Index]
-		k.server = c.desk.Name(o.Server)
-		c.links[o.Conn].send(item{id: o.RPC, try: o.Try, call: k, deadline: o.Deadline, again: o.Again})
+		k.server = c.dispatcher.Name(o.Server)
+		c.connections[o.Conn].send(outgoing{id: o.RPC, try: o.Try, call: k, deadline: o.Deadline, retry: o.Retry})
 	case attempt.Interrupt:
-		c.links[o.Conn].interrupt(o.RPC, o.Try)
-	case attempt.Check:
-		c.links[o.Conn].send(item{check: true})
+		c.connections[o.Conn].interrupt(o.RPC, o.Try)
+	case attempt.CheckHealth:
+		c.connections[o.Conn].send(outgoing{healthCheck: true})
 	case attempt.Dial:
-		for len(c.links) <= o.Conn {
-			c.links = append(c.links, nil)
+		for len(c.connections) <= o.Conn {
+			c.connections = append(c.connections, nil)
 		}
-		l := newLink(c, o.Conn, c.desk.Name(o.Server))
-		c.links[o.Conn] = l
+		l := newConnection(c, o.Conn, c.dispatcher.Name(o.Server))
+		c.connections[o.Conn] = l
 		c.group.Go(l.connect)
-	case attempt.Hang:
-		c.links[o.Conn].hang()
+	case attempt.Disconnect:
+		c.connections[o.Conn].closeNow()
 	case attempt.Finish:
 		k := c.calls[o.RPC.Index]
 		c.calls[o.RPC.Index] = nil
-		k.done <- o.End
-	case attempt.Tell:
-		c.log.Info("app server "+o.Change.String(), zap.String("server", c.desk.Name(o.Server)))
+		k.done <- o.Outcome
+	case attempt.ReportServer:
+		c.log.Info("app server "+o.Change.String(), zap.String("server", c.dispatcher.Name(o.Server)))
 	}
 }
 
 func (c *Client) measure() {
-	now, was := c.desk.Count, c.told
-	c.told = now
+	now, was := c.dispatcher.Count, c.reported
+	c.reported = now
 	for _, m := range []struct {
 		name    string
 		to, far uint64
--- a/client/conn.go
+++ b/client/conn.go
@@ -13,63 +13,63 @@
 	"valveglade/logic/attempt"
 )
 
-// item is one message that waits to be written.
-type item struct {
-	check    bool
-	target   int32 // of an interrupt, 0 if it is none
-	id       attempt.ID
-	try      int
-	call     *call
-	deadline float64
-	again    bool
-	at       int // where its frame ends in what is written
-	seq      int32
+// outgoing is one message that waits to be written.
+type outgoing struct {
+	healthCheck bool
+	target      int32 // of an interrupt, 0 if it is none
+	id          attempt.ID
+	try         int
+	call        *call
+	deadline    float64
+	retry       bool
+	frameEnd    int // where its frame ends in what is written
+	seq         int32
 }
 
-// sent is a try whose answer is owed.
+// sent is a try that was written and not answered.
 type sent struct {
 	seq int32
 	id  attempt.ID
 	try int
 }
 
-// link is one connection. All but the writer's buffer is guarded by the client's lock.
-type link struct {
+// connection is one connection. All but the writer's buffer is guarded by the client's lock.
+type connection struct {
 	*Client
-	at       int // the desk's index
-	server   string
-	nc       net.Conn
-	over     bool // the desk knows that it has ended, or has ended it
-	queue    []item
-	spare    []item
-	open     []sent  // at most 32
-	let      []int32 // interrupted; an answer to one of these may still come
-	checking int32   // number of the health check that is out, 0 if none is
-	last     int32
-	wake     chan struct{}
+	index        int // the dispatcher's index
+	server       string
+	nc           net.Conn
+	ended        bool // the dispatcher knows that it has ended, or has ended it
+	queue        []outgoing
+	spare        []outgoing
+	open         []sent  // at most 32
+	interrupted  []int32 // numbers of interrupted RPCs, whose answers may still come
+	pendingCheck int32   // number of the health check that is not answered, 0 for none
+	lastSeq      int32
+	wake         chan struct{}
 }
 
 const (
-	mostLet   = 256                     // interrupted RPCs whose answers may still come; who owes more answers nothing
-	stuck     = time.Second             // for one write of at most writeSize: an app server that reads takes microseconds
-	writeSize = 16 << 10                // gathered for one write
-	halfFrame = 1500 * time.Millisecond // for a frame to come whole once it has begun: trickles end with it
+	maxInterrupted = 256                     // interrupted RPCs that are remembered; a server that leaves more open answers nothing
+	writeTimeout   = time.Second             // for one write of at most maxWrite: an app server that reads takes microseconds
+	maxWrite       = 16 << 10                // bytes, gathered for one write
+	frameTimeout   = 1500 * time.Millisecond // for the rest of a frame that has begun
 )
 
-func newLink(c *Client, at int, server string) *link {
-	return &link{Client: c, at: at, server: server, wake: make(chan struct{}, 1)}
+func newConnection(c *Client, at int, server string) *connection {
+	return &connection{Client: c, index: at, server: server, wake: make(chan struct{}, 1)}
 }
 
-// connect is the link's life, in a goroutine of its own.
-func (l *link) connect() {
+// connect dials and then reads until the connection ends. It runs in a goroutine of its own.
+func (l *connection) connect() {
 	ctx, stop := context.WithTimeout(l.ctx, l.Client.connect)
 	nc, err := l.dial(ctx, l.server)
 	stop()
 	l.mu.Lock()
 	if l.closed || err != nil {
-		if !l.over {
-			l.over = true
-			l.desk.NotConnected(l.clock(), l.at)
+		if !l.ended {
+			l.ended = true
+			l.dispatcher.NotConnected(l.clock(), l.index)
 			l.run()
 		}
 		l.mu.Unlock()
@@ -79,7 +79,7 @@
 		return
 	}
 	l.nc = nc
-	l.desk.Connected(l.clock(), l.at)
+	l.dispatcher.Connected(l.clock(), l.index)
 	l.run()
 	l.mu.Unlock()
 	live, end := context.WithCancel(l.ctx)
@@ -95,7 +95,7 @@
 }
 
 // contain runs one side of the connection; its end or a panic ends the connection, and nothing else.
-func (l *link) contain(side func() error) {
+func (l *connection) contain(side func() error) {
 	err := func() (err error) {
 		defer func() {
 			if p := recover(); p != nil {
@@ -107,14 +107,14 @@
 	}()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.over {
-		l.ended(err)
+	if !l.ended {
+		l.handleEnd(err)
 	}
 }
 
-// ended tells the desk that the connection is no more; what was not written has not been sent.
-func (l *link) ended(err error) {
-	l.over = true
+// handleEnd reports the end of the connection to the dispatcher; what was not written has not been sent.
+func (l *connection) handleEnd(err error) {
+	l.ended = true
 	var peer *PeerError
 	faulty := errors.As(err, &peer)
 	if faulty {
@@ -126,47 +126,47 @@
 	l.queue = nil
 	for _, m := range queue {
 		if m.call != nil {
-			l.desk.Unsent(now, m.id, m.try)
+			l.dispatcher.Unsent(now, m.id, m.try)
 		}
 	}
-	l.desk.Dropped(now, l.at, faulty)
+	l.dispatcher.Dropped(now, l.index, faulty)
 	l.run()
 }
 
-// hang closes the connection at the desk's word.
-func (l *link) hang() {
-	l.over = true
+// closeNow closes the connection as the dispatcher asked.
+func (l *connection) closeNow() {
+	l.ended = true
 	if l.nc != nil {
 		l.nc.Close()
 	}
 }
 
-func (l *link) send(m item) {
+func (l *connection) send(m outgoing) {
 	l.queue = append(l.queue, m)
-	l.stir()
+	l.wakeWriter()
 }
 
-func (l *link) stir() {
+func (l *connection) wakeWriter() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
-// interrupt takes a try back. What has not been written yet never is.
-func (l *link) interrupt(id attempt.ID, try int) {
-	if k := slices.IndexFunc(l.queue, func(m item) bool { return m.call != nil && m.id == id && m.try == try }); k >= 0 {
+// interrupt withdraws a try. What has not been written yet never is.
+func (l *connection) interrupt(id attempt.ID, try int) {
+	if k := slices.IndexFunc(l.queue, func(m outgoing) bool { return m.call != nil && m.id == id && m.try == try }); k >= 0 {
 		l.queue = slices.Delete(l.queue, k, k+1)
 		return
 	}
 	k := slices.IndexFunc(l.open, func(s sent) bool { return s.id == id && s.try == try })
-	if k < 0 || l.over {
+	if k < 0 || l.ended {
 		return
 	}
 	seq := l.open[k].seq
 	l.open = slices.Delete(l.open, k, k+1)
-	if l.let = append(l.let, seq); len(l.let) > mostLet {
-		l.let = slices.Delete(l.let, 0, 1)
+	if l.interrupted = append(l.interrupted, seq); len(l.interrupted) > maxInterrupted {
+		l.interrupted = slices.Delete(l.interrupted, 0, 1)
 	}
-	l.send(item{target: seq})
+	l.send(outgoing{target: seq})
 }
--- a/client/conn_read.go
+++ b/client/conn_read.go
@@ -12,7 +12,7 @@
 )
 
 // read takes frames until the connection ends; its end is no error.
-func (l *link) read() error {
+func (l *connection) read() error {
 	in := readbuffer.New(thrift.MaxFrame + 4)
 	timed := false
 	for {
@@ -25,7 +25,7 @@
 				timed = half
 				var until time.Time
 				if half {
-					until = time.Now().Add(halfFrame)
+					until = time.Now().Add(frameTimeout)
 				}
 				l.nc.SetReadDeadline(until)
 			}
@@ -40,7 +40,7 @@
 			}
 			continue
 		}
-		to := asker{link: l}
+		to := answerHandler{connection: l}
 		if err := thrift.DecodeAnswer(frame, &to); err != nil {
 			return &PeerError{Server: l.server, Why: err.Error()}
 		}
@@ -55,40 +55,41 @@
 	}
 }
 
-// asker takes one answer to the desk.
-type asker struct {
-	*link
+// answerHandler passes one answer to the dispatcher.
+type answerHandler struct {
+	*connection
 	err error
 }
 
-// owed gives the try that a number stands for, and takes it off. Nothing is owed to one that was interrupted.
-func (a *asker) owed(seq int32) (sent, bool) {
+// takeTry removes and returns the try of a number. It reports false for one that was interrupted, and sets err for
+// one that is not open.
+func (a *answerHandler) takeTry(seq int32) (sent, bool) {
 	if k := slices.IndexFunc(a.open, func(s sent) bool { return s.seq == seq }); k >= 0 {
 		s := a.open[k]
 		a.open = slices.Delete(a.open, k, k+1)
 		return s, true
 	}
-	if k := slices.Index(a.let, seq); k >= 0 {
-		a.let = slices.Delete(a.let, k, k+1)
+	if k := slices.Index(a.interrupted, seq); k >= 0 {
+		a.interrupted = slices.Delete(a.interrupted, k, k+1)
 		return sent{}, false
 	}
 	why := "it has been answered before"
-	if seq > a.last || seq < 1 {
+	if seq > a.lastSeq || seq < 1 {
 		why = "it was never sent"
-	} else if len(a.let) == mostLet && seq < a.let[0] {
-		return sent{}, false // taken back long ago
+	} else if len(a.interrupted) == maxInterrupted && seq < a.interrupted[0] {
+		return sent{}, false // interrupted long ago
 	}
 	a.err = &PeerError{Server: a.server, Number: seq, Why: why}
 	return sent{}, false
 }
 
-func (a *asker) answered(seq int32, how Cause, result []byte, last bool, after, load float64, why string) {
+func (a *answerHandler) answered(seq int32, how Cause, result []byte, last bool, after, load float64, why string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.over {
+	if a.ended {
 		return
 	}
-	s, ok := a.owed(seq)
+	s, ok := a.takeTry(seq)
 	if !ok {
 		return
 	}
@@ -100,46 +101,46 @@
 			}
 		}
 	}
-	a.desk.Answered(a.clock(), s.id, s.try, how, last, after, load)
+	a.dispatcher.Answered(a.clock(), s.id, s.try, how, last, after, load)
 	a.run()
 }
 
 // Served is an RPC that was ok.
-func (a *asker) Served(seq int32, result []byte, load float64) {
+func (a *answerHandler) Served(seq int32, result []byte, load float64) {
 	a.answered(seq, attempt.Served, result, false, 0, load, "")
 }
 
 // PushedBack is an RPC that never ran.
-func (a *asker) PushedBack(seq int32, last bool, after, load float64) {
+func (a *answerHandler) PushedBack(seq int32, last bool, after, load float64) {
 	a.answered(seq, Refused, nil, last, after, load, "")
 }
 
 // Aborted is an RPC of which nothing is known.
-func (a *asker) Aborted(seq int32, why string, load float64) {
+func (a *answerHandler) Aborted(seq int32, why string, load float64) {
 	a.answered(seq, Aborted, nil, false, 0, load, why)
 }
 
 // Checked is the answer to a health check.
-func (a *asker) Checked(seq int32, good bool, load float64) {
+func (a *answerHandler) Checked(seq int32, good bool, load float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case a.over:
-	case seq != a.checking:
+	case a.ended:
+	case seq != a.pendingCheck:
 		a.err = &PeerError{Server: a.server, Number: seq, Why: "no health check has it"}
 	default:
-		a.checking = 0
-		a.desk.Checked(a.clock(), a.at, good, load)
+		a.pendingCheck = 0
+		a.dispatcher.Checked(a.clock(), a.index, good, load)
 		a.run()
 	}
 }
 
 // Draining asks for no new RPC on this connection.
-func (a *asker) Draining() {
+func (a *answerHandler) Draining() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.over {
-		a.desk.Draining(a.clock(), a.at)
+	if !a.ended {
+		a.dispatcher.Draining(a.clock(), a.index)
 		a.run()
 	}
 }
--- a/client/conn_write.go
+++ b/client/conn_write.go
@@ -15,7 +15,7 @@
 
 // write sends what is queued, several messages at once where they are ready. A frame is made only when it is
 // written, so nothing leaves after its deadline.
-func (l *link) write(ctx context.Context) error {
+func (l *connection) write(ctx context.Context) error {
 	var out []byte
 	for {
 		select {
@@ -31,7 +31,7 @@
 			if out = bytes; len(out) == 0 {
 				break
 			}
-			l.nc.SetWriteDeadline(time.Now().Add(stuck))
+			l.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
 			if n, err := l.nc.Write(out); err != nil {
 				l.unsent(batch, n)
 				if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -44,26 +44,26 @@
 }
 
 // gather makes the frames of what waits, up to a bound, and leaves out what has become too late.
-func (l *link) gather(out []byte) (batch []item, frames []byte, over bool) {
+func (l *connection) gather(out []byte) (batch []outgoing, frames []byte, over bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.over {
+	if l.ended {
 		return nil, nil, true
 	}
 	now := l.clock()
 	batch = l.spare[:0]
 	k := 0
-	for ; k < len(l.queue) && len(out) < writeSize; k++ {
+	for ; k < len(l.queue) && len(out) < maxWrite; k++ {
 		m := l.queue[k]
 		if m.call != nil && now >= m.deadline {
-			l.desk.Unsent(now, m.id, m.try)
+			l.dispatcher.Unsent(now, m.id, m.try)
 			continue
 		}
-		l.last++
-		m.seq = l.last
+		l.lastSeq++
+		m.seq = l.lastSeq
 		switch {
-		case m.check:
-			l.checking = m.seq
+		case m.healthCheck:
+			l.pendingCheck = m.seq
 			out = thrift.Check(out, m.seq)
 		case m.target != 0:
 			out = thrift.Interrupt(out, m.seq, m.target)
@@ -76,9 +76,9 @@
 			binary.BigEndian.PutUint64(raw[:], rand.Uint64())
 			hex.Encode(uid[:], raw[:])
 			out = thrift.Execute(out, m.seq, c.name, string(uid[:]), l.source, now, m.deadline-now, max(c.KB, 0.1),
-				min(c.Criticality, 0.9999), m.again, c.token, c.row, c.body)
+				min(c.Criticality, 0.9999), m.retry, c.token, c.row, c.body)
 		}
-		m.at = len(out)
+		m.frameEnd = len(out)
 		batch = append(batch, m)
 	}
 	l.queue = slices.Delete(l.queue, 0, k)
@@ -88,7 +88,7 @@
 }
 
 // unsent finds the tries of which not a byte was written before the connection ended: those never left.
-func (l *link) unsent(batch []item, written int) {
+func (l *connection) unsent(batch []outgoing, written int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	from := 0
@@ -96,10 +96,10 @@
 		if m.call != nil && from >= written {
 			if k := slices.IndexFunc(l.open, func(s sent) bool { return s.seq == m.seq }); k >= 0 {
 				l.open = slices.Delete(l.open, k, k+1)
-				l.desk.Unsent(l.clock(), m.id, m.try)
+				l.dispatcher.Unsent(l.clock(), m.id, m.try)
 			}
 		}
-		from = m.at
+		from = m.frameEnd
 	}
 	l.run()
 }
--- a/client/errors.go
+++ b/client/errors.go
@@ -41,11 +41,11 @@
 	Cause  Cause
 	Reach  Reach
 	Tries  int
-	// Again tells whether the RPC may be asked for again without the risk of a second effect: it never ran, or it is
+	// Again reports whether the RPC may be asked for again without the risk of a second effect: it never ran, or it is
 	// idempotent, and no app server has forbidden it.
 	Again bool
 	After time.Duration // and not before so long, 0 where nothing was said
-	Why   string        // an app server's word, or what was wrong with the call
+	Why   string        // an app server's reason, or what was wrong with the call
 }
 
 func (e *Error) Error() string {
@@ -63,7 +63,7 @@
 	return s
 }
 
-// Unwrap gives the context's error where that ended the RPC.
+// Unwrap returns the context's error where that ended the RPC.
 func (e *Error) Unwrap() error {
 	switch e.Cause {
 	case Late:
@@ -74,7 +74,7 @@
 	return nil
 }
 
-// PeerError says what was wrong with an app server's words. The connection they came on is closed, nothing else is
+// PeerError is a breach of the protocol by an app server. The connection that it came on is closed, nothing else is
 // touched.
 type PeerError struct {
 	Server string
--- a/client/lists.go
+++ b/client/lists.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap"
 )
 
-// watch begins to follow the file and the resolver. A file that cannot be read at the start is an error, as a wrong
+// startWatching begins to follow the file and the resolver. A file that cannot be read at the start is an error, as a wrong
 // path would be noticed by nobody.
-func (c *Client) watch() error {
+func (c *Client) startWatching() error {
 	if c.file != "" {
 		names, err := readList(c.file)
 		if err != nil {
@@ -33,13 +33,13 @@
 		c.group.Go(func() { c.follow(w) })
 	}
 	if c.resolve != nil {
-		c.group.Go(c.ask)
+		c.group.Go(c.pollResolver)
 	}
 	return nil
 }
 
-// settled is waited after a change, as a file that is written in place changes several times.
-const settled = 50 * time.Millisecond
+// fileSettleTime is the wait after a change, as a file that is written in place changes several times.
+const fileSettleTime = 50 * time.Millisecond
 
 func (c *Client) follow(w *fsnotify.Watcher) {
 	defer w.Close()
@@ -54,20 +54,20 @@
 				return
 			}
 			if filepath.Base(e.Name) == filepath.Base(c.file) {
-				later.Reset(settled)
+				later.Reset(fileSettleTime)
 			}
 		case err := <-w.Errors:
 			c.log.Warn("watching the list of app servers", zap.Error(err))
-			later.Reset(settled)
+			later.Reset(fileSettleTime)
 		case <-later.C:
 			names, err := readList(c.file)
-			c.relist(names, err)
+			c.setServers(names, err)
 		}
 	}
 }
 
-// ask calls the embedder's resolver.
-func (c *Client) ask() {
+// pollResolver calls the embedder's resolver.
+func (c *Client) pollResolver() {
 	every := time.NewTicker(c.every)
 	defer every.Stop()
 	for {
@@ -78,7 +78,7 @@
 			}
 		}
 		if c.ctx.Err() == nil {
-			c.relist(names, err)
+			c.setServers(names, err)
 		}
 		select {
 		case <-c.ctx.Done():
@@ -88,8 +88,8 @@
 	}
 }
 
-// relist takes over a list; a faulty or an empty one leaves the last.
-func (c *Client) relist(names []string, err error) {
+// setServers replaces the list of app servers; a faulty or an empty list leaves the last one.
+func (c *Client) setServers(names []string, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -99,7 +99,7 @@
 		c.log.Warn("list of app servers faulty, the last one stays", zap.Error(err))
 		return
 	}
-	if !c.desk.Servers(c.clock(), names) {
+	if !c.dispatcher.Servers(c.clock(), names) {
 		c.log.Warn("list of app servers empty, the last one stays")
 	}
 	c.run()
--- a/client/options.go
+++ b/client/options.go
@@ -24,7 +24,7 @@
 // Method is what a client knows of a method. The zero value is non-idempotent and of the least criticality.
 type Method struct {
 	Kind        Kind
-	Criticality float64 // from 0 to under 1; the line goes by it, and app servers are told
+	Criticality float64 // from 0 to under 1; the queue is ordered by it, and app servers are told
 	KB          float64 // memory that an app server books while it holds one; 0 for twice the body and one
 }
 
@@ -38,7 +38,7 @@
 type Option func(*options)
 
 type options struct {
-	terms    attempt.Terms
+	config   attempt.Config
 	servers  []string
 	file     string
 	resolve  func(context.Context) ([]string, error)
@@ -58,10 +58,10 @@
 }
 
 // ServersFile reads the app servers from a file, an address a line, and again whenever it changes. # begins a
-// remark. A faulty or an empty file changes nothing.
+// comment. A faulty or an empty file changes nothing.
 func ServersFile(path string) Option { return func(o *options) { o.file = path } }
 
-// Resolver asks the embedder for the app servers, at the start and then so often. An error or an empty list changes
+// Resolver sets a function that returns the app servers, called at the start and then at an interval. An error or an empty list changes
 // nothing.
 func Resolver(every time.Duration, resolve func(context.Context) ([]string, error)) Option {
 	return func(o *options) { o.every, o.resolve = every, resolve }
@@ -70,67 +70,71 @@
 // Methods says what is known of methods. One that is not named is non-idempotent unless a call says otherwise.
 func Methods(m map[string]Method) Option { return func(o *options) { o.methods = m } }
 
-// Log takes the client's lines: changes of condition, never each RPC.
+// Log sets the logger. It gets changes of condition, never each RPC.
 func Log(l *zap.Logger) Option { return func(o *options) { o.log = l } }
 
-// Count has a meter told of what is out of the ordinary.
+// Count sets the meter.
 func Count(m Meter) Option { return func(o *options) { o.meter = m } }
 
 // DefaultDeadline is for calls whose context has none: 5 s if it is not given.
 func DefaultDeadline(d time.Duration) Option { return func(o *options) { o.deadline = d } }
 
-// Budget is how many further tries there may be for each first one: 0.1 if it is not given, 0 for none.
+// Budget sets the retries for each first try: 0.1 if it is not given, 0 for none.
 func Budget(share float64) Option {
 	return func(o *options) {
-		if o.terms.Share = share; share <= 0 {
-			o.terms.Share = -1
+		if o.config.RetryShare = share; share <= 0 {
+			o.config.RetryShare = -1
 		}
 	}
 }
 
-// Hedge has idempotent RPCs sent a second time, to another app server, once they have been out for so long. It is
-// paid out of the same budget. Off if it is not given.
+// Hedge sends idempotent RPCs a second time, to another app server, once they have been in flight for so long. It
+// draws on the same budget. Off if it is not given.
 func Hedge(after time.Duration) Option {
-	return func(o *options) { o.terms.Hedge = after.Seconds() }
+	return func(o *options) { o.config.HedgeAfter = after.Seconds() }
 }
 
 // Seed is for all that is left to chance; drawn if it is not given.
-func Seed(seed uint64) Option { return func(o *options) { o.terms.Seed = seed } }
+func Seed(seed uint64) Option { return func(o *options) { o.config.Seed = seed } }
 
 // StartSpread spreads the very first connects, for clients of which many start together.
-func StartSpread(d time.Duration) Option { return func(o *options) { o.terms.Start = d.Seconds() } }
+func StartSpread(d time.Duration) Option {
+	return func(o *options) { o.config.StartSpread = d.Seconds() }
+}
 
 // Reconnects sets the spans that connects are spread over: after a first failure, doubling up to the most. 0.5 s
 // and 8 s if it is not given.
 func Reconnects(first, most time.Duration) Option {
-	return func(o *options) { o.terms.First, o.terms.Most = first.Seconds(), most.Seconds() }
+	return func(o *options) { o.config.FirstBackoff, o.config.MaxBackoff = first.Seconds(), most.Seconds() }
 }
 
 // Bounds sets how many app servers to be connected to (8), connections to each (4), connects in progress (4) and RPCs
 // that wait (1024). 0 leaves one as it is.
 func Bounds(servers, connections, connects, waiting int) Option {
 	return func(o *options) {
-		t := &o.terms
-		t.Near, t.Conns, t.Dialing, t.Waiting = servers, connections, connects, waiting
+		t := &o.config
+		t.MaxServers, t.MaxConns, t.MaxDials, t.MaxWaiting = servers, connections, connects, waiting
 	}
 }
 
-// IdleAfter is when an unused connection is left: 20 s if it is not given.
-func IdleAfter(d time.Duration) Option { return func(o *options) { o.terms.Idle = d.Seconds() } }
+// IdleAfter sets when an unused connection is closed: 20 s if it is not given.
+func IdleAfter(d time.Duration) Option {
+	return func(o *options) { o.config.IdleTimeout = d.Seconds() }
+}
 
-// HealthEvery is between health checks: 5 s if it is not given, 0 for none. Without them an app server that a
+// HealthEvery sets the interval of health checks: 5 s if it is not given, 0 for none. Without them an app server that a
 // tokened RPC was lost at cannot be known for the same process again, so fewer are tried again.
 func HealthEvery(d time.Duration) Option {
 	return func(o *options) {
-		if o.terms.Period = d.Seconds(); d <= 0 {
-			o.terms.Period = -1
+		if o.config.CheckPeriod = d.Seconds(); d <= 0 {
+			o.config.CheckPeriod = -1
 		}
 	}
 }
 
 // ServersRemember tells that app servers know their tokens again after a restart, so that a tokened RPC may be tried
 // again at the same address whatever happened there.
-func ServersRemember() Option { return func(o *options) { o.terms.Remembers = true } }
+func ServersRemember() Option { return func(o *options) { o.config.TokensPersist = true } }
 
 // Dialer replaces the TCP dialer.
 func Dialer(dial func(ctx context.Context, address string) (net.Conn, error)) Option {
--- a/logic/attempt/attempt.go
+++ b/logic/attempt/attempt.go
@@ -1,8 +1,8 @@
 // Package attempt decides for a caller of app servers: where an RPC goes, how many may be out there, whether,
 // when and where one is tried again, and when a lost app server is called on again.
 //
-// A Desk is told what happens, each time with the time in seconds, and leaves what is to be done in Orders. It
-// has no clock, no goroutine and no sockets; the client package carries it. It never orders a try of what may
+// A Dispatcher takes events, each with the time in seconds, and appends what is to be done to Actions. It has no
+// clock, no goroutine and no sockets: those are the client package's. It never sends a further try of what may
 // have run, unless the RPC is idempotent or its token guards it at the app server that had it.
 package attempt
 
@@ -12,7 +12,7 @@
 const (
 	NeverSent  Reach = iota // no byte of it left
 	PushedBack              // sent, and refused: it never ran
-	Sent                    // sent, and nothing tells what came of it
+	Sent                    // sent, and its outcome is unknown
 	Ran                     // an app server said that it ran, or may have
 )
 
@@ -38,8 +38,8 @@
 		"too many wait", "no app server in reach", "client closed"}[c]
 }
 
-// End is the one outcome of an RPC.
-type End struct {
+// Outcome is the one outcome of an RPC.
+type Outcome struct {
 	Cause  Cause
 	Reach  Reach
 	Tries  int
@@ -48,89 +48,89 @@
 	After  float64 // not before that many seconds; 0 where nothing was said
 }
 
-// ID names an RPC in hand. An index comes back for another RPC, its life never does.
+// ID identifies an open RPC. An index is used again for another RPC, with another generation.
 type ID struct {
-	Index int
-	Life  uint32
+	Index      int
+	Generation uint32
 }
 
-// Do is what is to be done.
-type Do uint8
+// ActionKind is what an action does.
+type ActionKind uint8
 
 const (
-	Send      Do = iota + 1 // write the RPC to the connection
-	Interrupt               // tell the app server that nobody waits for this try
-	Dial                    // open a connection
-	Hang                    // close a connection
-	Check                   // write a health check
-	Finish                  // tell the caller
-	Tell                    // an app server's standing has changed
+	Send         ActionKind = iota + 1 // write the RPC to the connection
+	Interrupt                          // interrupt this try at the app server: nobody waits for it
+	Dial                               // open a connection
+	Disconnect                         // close a connection
+	CheckHealth                        // write a health check
+	Finish                             // return the outcome to the caller
+	ReportServer                       // log that an app server's condition has changed
 )
 
-// Order is one thing to do; what does not belong to its kind is zero.
-type Order struct {
-	Do       Do
+// Action is one thing that the caller of a Dispatcher has to do. Fields that its kind does not use are zero.
+type Action struct {
+	Kind     ActionKind
 	RPC      ID
 	Try      int // its number, from 1
 	Conn     int
 	Server   int
-	Again    bool    // with Send: a further try
+	Retry    bool    // with Send: a further try
 	Deadline float64 // with Send
-	End      End     // with Finish
-	Change   Change  // with Tell
+	Outcome  Outcome // with Finish
+	Change   Change  // with ReportServer
 }
 
-// Change is what has become of an app server.
+// Change is a change in the condition of an app server.
 type Change uint8
 
 const (
-	LeftOut Change = iota + 1 // it failed too often
-	LetBack                   // it serves again
-	Unmet                     // it cannot be reached
-	Met                       // it can again
+	Ejected     Change = iota + 1 // it failed too often
+	Readmitted                    // it serves again
+	Unreachable                   // it cannot be reached
+	Reachable                     // it can again
 )
 
 func (c Change) String() string {
 	return [...]string{"", "left out", "let back", "not reached", "reached again"}[c]
 }
 
-// Terms are the tuned values of a Desk. Zero values get the defaults of New.
-type Terms struct {
-	Seed      uint64
-	Share     float64 // further tries for each first one: 0.1. Below 0 there are none
-	Hedge     float64 // seconds after which an idempotent RPC is sent a second time, 0 for never
-	Waiting   int     // RPCs that may wait for room: 1024
-	Near      int     // app servers to be connected to at once: 8
-	Dialing   int     // connects in progress: 4
-	Conns     int     // connections to one app server: 4
-	First     float64 // first span of reconnects: 0.5
-	Most      float64 // longest span of reconnects: 8
-	Start     float64 // span of the very first connects, for many that start together: 0
-	Idle      float64 // seconds until an idle connection is left: 20
-	Period    float64 // seconds between health checks: 5. Below 0 there are none
-	Remembers bool    // app servers know their tokens again after a restart
+// Config holds the tuned values of a Dispatcher. Zero values get the defaults of New.
+type Config struct {
+	Seed          uint64
+	RetryShare    float64 // retries for each first try: 0.1; none if below 0
+	HedgeAfter    float64 // seconds after which an idempotent RPC is sent a second time, 0 for never
+	MaxWaiting    int     // RPCs that may be queued: 1024
+	MaxServers    int     // app servers connected to at once: 8
+	MaxDials      int     // connects in progress: 4
+	MaxConns      int     // connections to one app server: 4
+	FirstBackoff  float64 // seconds over which the first reconnect is spread: 0.5
+	MaxBackoff    float64 // most seconds over which a reconnect is spread: 8
+	StartSpread   float64 // seconds over which the first connects are spread, for clients that start together: 0
+	IdleTimeout   float64 // seconds until an idle connection is closed: 20
+	CheckPeriod   float64 // seconds between health checks: 5; none if below 0
+	TokensPersist bool    // app servers keep their tokens over a restart
 }
 
 // Fixed by the protocol.
 const (
-	MostOpen = 32   // RPCs open on one connection
+	MaxOpen  = 32   // RPCs open on one connection
 	Crossing = 0.05 // a close that an RPC can have crossed
 )
 
 const (
-	firstCredit = 2.0 // RPCs out at an app server that has said nothing of late: one, and one to compare it with
-	creditFor   = 1.0 // seconds for which credit is believed: the platform's own routers do the same
-	// checkedWithin is how many seconds an app server that has not said its credit may take to answer a health check.
-	checkedWithin = 0.5
-	// leastDraw is how many seconds the fraction of a credit stays drawn at the least: tries become slow all at once.
-	leastDraw = 0.25
-	// coldTook is how many seconds a try is taken to take until one was ok at a process, which may be cold.
-	coldTook  = 0.5
-	mostAway  = 60.0 // seconds of advice to stay away that are believed
-	firstRest = 0.05 // span before a further try where no advice was given, doubling with each
-	mostRest  = 1.0
-	silence   = 5.0 // seconds without a word, with RPCs out, after which a connection is given up
-	learn     = 0.1 // weight of a new measurement
+	firstCredit    = 2.0 // RPCs out at an app server that has reported no credit lately: one, and one to compare it with
+	creditLifetime = 1.0 // seconds for which credit is believed: the platform's own routers do the same
+	// firstCheckTimeout is how many seconds an app server that has not reported its credit may take to answer a health check.
+	firstCheckTimeout = 0.5
+	// minRedrawDelay is the least time in seconds between two draws on the fraction of a credit: tries can become slow suddenly.
+	minRedrawDelay = 0.25
+	// coldDuration is the assumed duration in seconds of a try at a process that has not served one yet and may be cold.
+	coldDuration    = 0.5
+	maxRetryAfter   = 60.0 // the longest advice to stay away that is followed, in seconds
+	firstRetryDelay = 0.05 // seconds before a retry where no advice was given, doubling with each
+	maxRetryDelay   = 1.0
+	silenceTimeout  = 5.0 // seconds without an answer, with RPCs open, after which a connection is closed
+	smoothing       = 0.1 // weight of a new measurement
 )
 
 // Counts are totals since the start.
--- a/logic/attempt/attempt_test.go
+++ b/logic/attempt/attempt_test.go
@@ -11,27 +11,27 @@
 	"valveglade/rpc"
 )
 
-// stage plays a desk by hand and prints what it orders.
+// stage drives a dispatcher by hand and prints its actions.
 type stage struct {
-	*Desk
+	*Dispatcher
 	now float64
 }
 
-func newStage(t Terms, servers ...string) *stage {
+func newStage(t Config, servers ...string) *stage {
 	t.Seed = 7
 	s := &stage{now: 100}
-	s.Desk = New(s.now, t)
+	s.Dispatcher = New(s.now, t)
 	s.Servers(s.now, servers)
 	return s
 }
 
-// flush prints the orders since the last one.
+// flush prints the actions since the last one.
 func (s *stage) flush() {
-	for _, o := range s.Orders {
-		switch o.Do {
+	for _, o := range s.Actions {
+		switch o.Kind {
 		case Send:
 			again := ""
-			if o.Again {
+			if o.Retry {
 				again = " again"
 			}
 			fmt.Printf("%6.2f send %d.%d to %s%s\n", s.now-100, o.RPC.Index, o.Try, s.Name(o.Server), again)
@@ -39,22 +39,22 @@
 			fmt.Printf("%6.2f interrupt %d.%d\n", s.now-100, o.RPC.Index, o.Try)
 		case Dial:
 			fmt.Printf("%6.2f dial %s\n", s.now-100, s.Name(o.Server))
-		case Hang:
+		case Disconnect:
 			fmt.Printf("%6.2f hang %s\n", s.now-100, s.Name(o.Server))
-		case Check:
+		case CheckHealth:
 			fmt.Printf("%6.2f check %s\n", s.now-100, s.Name(o.Server))
-		case Tell:
+		case ReportServer:
 			fmt.Printf("%6.2f %s %s\n", s.now-100, s.Name(o.Server), o.Change)
 		case Finish:
-			fmt.Printf("%6.2f end %d: %s, %s, %d tries, again %v", s.now-100, o.RPC.Index, o.End.Cause, o.End.Reach,
-				o.End.Tries, o.End.Again)
-			if o.End.After > 0 {
-				fmt.Printf(" after %.2f", o.End.After)
+			fmt.Printf("%6.2f end %d: %s, %s, %d tries, again %v", s.now-100, o.RPC.Index, o.Outcome.Cause, o.Outcome.Reach,
+				o.Outcome.Tries, o.Outcome.Again)
+			if o.Outcome.After > 0 {
+				fmt.Printf(" after %.2f", o.Outcome.After)
 			}
 			fmt.Println()
 		}
 	}
-	s.Orders = s.Orders[:0]
+	s.Actions = s.Actions[:0]
 }
 
 // until lets time pass, tick by tick.
@@ -85,7 +85,7 @@
 		if s.conns[k].state == dialing {
 			s.Connected(s.now, k)
 		}
-		if s.conns[k].state == up && s.conns[k].owes {
+		if s.conns[k].state == up && s.conns[k].checkPending {
 			s.Checked(s.now, k, true, credit)
 		}
 	}
@@ -98,7 +98,7 @@
 }
 
 func (s *stage) ask(kind rpc.Kind, criticality, within float64) ID {
-	id := s.Ask(s.now, 0, kind, criticality, s.now+within)
+	id := s.Submit(s.now, 0, kind, criticality, s.now+within)
 	s.flush()
 	return id
 }
@@ -111,7 +111,7 @@
 // What waits goes out by criticality, then in order, as credit allows; a refusal rests for its time, one that forbids
 // further tries ends the RPC.
 func Example_credit() {
-	s := newStage(Terms{Period: -1}, "a:1")
+	s := newStage(Config{CheckPeriod: -1}, "a:1")
 	first := s.ask(rpc.Idempotent, 0.5, 10)
 	low := s.ask(rpc.Idempotent, 0.1, 10)
 	high := s.ask(rpc.Idempotent, 0.9, 10)
@@ -135,7 +135,7 @@
 
 // A refusal whose time would pass the deadline, or that leaves no time to be served, is told at once.
 func Example_tooLate() {
-	s := newStage(Terms{Period: -1}, "a:1")
+	s := newStage(Config{CheckPeriod: -1}, "a:1")
 	s.meet()
 	one := s.ask(rpc.Idempotent, 0, 10)
 	s.now += 0.2
@@ -159,7 +159,7 @@
 // second connection, by which the tokened one could tell that its app server is the same process; here that is gone
 // too.
 func Example_death() {
-	s := newStage(Terms{Near: 1}, "a:1")
+	s := newStage(Config{MaxServers: 1}, "a:1")
 	s.meet()
 	s.meet()
 	s.checked(9)
@@ -192,7 +192,7 @@
 
 // A connection is reset and the app server lives: the tokened RPC is tried again there, and nowhere else.
 func Example_reset() {
-	s := newStage(Terms{Share: 1}, "a:1", "b:1")
+	s := newStage(Config{RetryShare: 1}, "a:1", "b:1")
 	s.meet()
 	s.meet()
 	s.checked(9)
@@ -223,24 +223,24 @@
 
 // One of four fails every RPC: it is left out, tried with one RPC after a while, and let back gently.
 func Example_leftOut() {
-	s := newStage(Terms{Period: -1, Share: -1}, "a:1", "b:1", "c:1", "d:1")
-	s.Orders = nil
+	s := newStage(Config{CheckPeriod: -1, RetryShare: -1}, "a:1", "b:1", "c:1", "d:1")
+	s.Actions = nil
 	s.meet()
 	bad, sentBad, back := 0, 0, 0.0
 	for range 1200 {
 		s.now += 0.01
 		s.Tick(s.now)
-		id := s.Ask(s.now, 0, rpc.Idempotent, 0, s.now+1)
-		for _, o := range s.Orders {
-			if o.Do == Tell {
+		id := s.Submit(s.now, 0, rpc.Idempotent, 0, s.now+1)
+		for _, o := range s.Actions {
+			if o.Kind == ReportServer {
 				fmt.Printf("%s %s\n", s.Name(o.Server), o.Change)
-				if o.Change == LetBack {
+				if o.Change == Readmitted {
 					back = s.now
 				}
 			}
 		}
-		s.Orders = s.Orders[:0]
-		if !s.holds(id) {
+		s.Actions = s.Actions[:0]
+		if !s.isOpen(id) {
 			continue
 		}
 		how := Served
@@ -261,7 +261,7 @@
 
 // An empty list changes nothing; a shorter one ends what is no longer named once it is empty.
 func Example_list() {
-	s := newStage(Terms{Period: -1}, "a:1", "b:1")
+	s := newStage(Config{CheckPeriod: -1}, "a:1", "b:1")
 	s.meet()
 	fmt.Println(s.Servers(s.now, nil))
 	id := s.ask(rpc.Idempotent, 0, 10)
@@ -283,7 +283,7 @@
 // A second try goes elsewhere once the first has been out for long; the answer that comes first counts, the other try
 // is taken back.
 func Example_hedge() {
-	s := newStage(Terms{Period: -1, Hedge: 0.1}, "a:1", "b:1")
+	s := newStage(Config{CheckPeriod: -1, HedgeAfter: 0.1}, "a:1", "b:1")
 	s.meet()
 	id := s.ask(rpc.Idempotent, 0, 10)
 	s.ask(rpc.Tokened, 0, 10)
@@ -305,10 +305,10 @@
 	for k := range 2000 { // a hundred a second
 		b.Earn(float64(k) / 100)
 	}
-	if left := b.Left(20); left < 50 || left > 100 {
+	if left := b.Available(20); left < 50 || left > 100 {
 		t.Errorf("%g tries saved after 20 s of 100 RPCs a second: at most a tenth of the span's", left)
 	}
-	if left := b.Left(80); left > 1.5 {
+	if left := b.Available(80); left > 1.5 {
 		t.Errorf("%g tries left after a minute of nothing", left)
 	}
 }
@@ -335,23 +335,23 @@
 
 // model is what a property run knows of an RPC.
 type model struct {
-	kind      rpc.Kind
-	deadline  float64
-	tries     int
-	last      bool    // refused for good
-	until     float64 // refused until
-	mayHave   bool    // some try may have run
-	at        int     // where it may have
-	era       uint32
-	crossings int
-	ended     bool
-	out       map[int]Order
+	kind        rpc.Kind
+	deadline    float64
+	tries       int
+	last        bool    // refused for good
+	until       float64 // refused until
+	mayHave     bool    // some try may have run
+	at          int     // where it may have
+	incarnation uint32
+	crossings   int
+	ended       bool
+	out         map[int]Action
 }
 
 // An app server that may be cold is asked by a health check before anything is sent to it, and again once it may be
 // another process.
 func Example_asksFirst() {
-	s := newStage(Terms{}, "a:1")
+	s := newStage(Config{}, "a:1")
 	first := s.ask(rpc.Idempotent, 0, 10)
 	s.meet()
 	s.meet()
@@ -381,40 +381,40 @@
 // of the fractions allow, but for chance.
 func TestFractionsSum(t *testing.T) {
 	const clients, share, took, seconds = 24, 4.0, 0.5, 20
-	desks := make([]*stage, clients)
-	for k := range desks {
-		desks[k] = &stage{Desk: New(100, Terms{Seed: uint64(k + 1)}), now: 100}
-		desks[k].Servers(100, []string{"cold:1"})
+	dispatchers := make([]*stage, clients)
+	for k := range dispatchers {
+		dispatchers[k] = &stage{Dispatcher: New(100, Config{Seed: uint64(k + 1)}), now: 100}
+		dispatchers[k].Servers(100, []string{"cold:1"})
 	}
 	type out struct {
-		desk  int
-		order Order
-		ends  float64
+		dispatcher int
+		order      Action
+		ends       float64
 	}
 	var open []out
 	arrivals := make([]int, seconds)
 	for step := range seconds * 100 {
 		now := 100 + float64(step)/100
-		for k, d := range desks {
+		for k, d := range dispatchers {
 			d.now = now
 			if step%10 == 0 {
-				d.Ask(now, 0, rpc.Idempotent, 0, now+2)
+				d.Submit(now, 0, rpc.Idempotent, 0, now+2)
 			}
 			d.Tick(now)
 			d.meetQuietly(share / clients)
-			for _, o := range d.Orders {
-				if o.Do == Send {
+			for _, o := range d.Actions {
+				if o.Kind == Send {
 					arrivals[step/100]++
 					open = append(open, out{k, o, now + took})
 				}
 			}
-			d.Orders = d.Orders[:0]
+			d.Actions = d.Actions[:0]
 		}
 		open = slices.DeleteFunc(open, func(o out) bool {
 			if o.ends > now {
 				return false
 			}
-			desks[o.desk].Answered(now, o.order.RPC, o.order.Try, Served, false, 0, share/clients)
+			dispatchers[o.dispatcher].Answered(now, o.order.RPC, o.order.Try, Served, false, 0, share/clients)
 			return true
 		})
 	}
@@ -432,29 +432,29 @@
 // it could take effect twice; the budget holds; some app servers are always left.
 func TestAnyOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		terms := Terms{Seed: rapid.Uint64().Draw(t, "seed"), Near: rapid.IntRange(1, 4).Draw(t, "near"),
-			Hedge: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "hedge"), Waiting: 5, Idle: 3, Period: 1,
-			Share: rapid.SampledFrom([]float64{-1, 0.1, 0.5}).Draw(t, "share")}
+		terms := Config{Seed: rapid.Uint64().Draw(t, "seed"), MaxServers: rapid.IntRange(1, 4).Draw(t, "near"),
+			HedgeAfter: rapid.SampledFrom([]float64{0, 0.05}).Draw(t, "hedge"), MaxWaiting: 5, IdleTimeout: 3, CheckPeriod: 1,
+			RetryShare: rapid.SampledFrom([]float64{-1, 0.1, 0.5}).Draw(t, "share")}
 		d := New(100, terms)
 		names := []string{"a:1", "b:1", "c:1", "d:1"}
 		d.Servers(100, names)
 		now := 100.0
 		rpcs := map[ID]*model{}
-		conns := map[int]link{}
+		conns := map[int]connState{}
 		var asked []*model
 		first, further := 0, 0
 		settle := func() {
-			for k := 0; k < len(d.Orders); k++ {
-				o := d.Orders[k]
-				switch o.Do {
+			for k := 0; k < len(d.Actions); k++ {
+				o := d.Actions[k]
+				switch o.Kind {
 				case Dial:
 					if conns[o.Conn] != none {
 						t.Fatalf("connection %d is dialled while in use", o.Conn)
 					}
 					conns[o.Conn] = dialing
-				case Hang:
+				case Disconnect:
 					conns[o.Conn] = none
-				case Check:
+				case CheckHealth:
 					if conns[o.Conn] != up {
 						t.Fatalf("a health check on connection %d, which is not up", o.Conn)
 					}
@@ -475,7 +475,7 @@
 				case Send:
 					m := rpcs[o.RPC]
 					if m == nil { // sent before Ask returned
-						m = &model{kind: d.rpcs[o.RPC.Index].kind, deadline: o.Deadline, out: map[int]Order{}}
+						m = &model{kind: d.rpcs[o.RPC.Index].kind, deadline: o.Deadline, out: map[int]Action{}}
 						rpcs[o.RPC] = m
 					}
 					s := &d.servers[o.Server]
@@ -488,23 +488,23 @@
 						t.Fatalf("%v sent though refused", o.RPC)
 					case m.kind == rpc.NonIdempotent && m.tries > 0:
 						t.Fatalf("%v is non-idempotent and sent again", o.RPC)
-					case m.kind == rpc.Tokened && m.mayHave && (m.at != o.Server || m.era != s.era):
+					case m.kind == rpc.Tokened && m.mayHave && (m.at != o.Server || m.incarnation != s.incarnation):
 						t.Fatalf("%v may have run at another", o.RPC)
-					case d.conns[o.Conn].open > MostOpen:
+					case d.conns[o.Conn].open > MaxOpen:
 						t.Fatalf("%d open on one connection", d.conns[o.Conn].open)
-					case now < s.away:
+					case now < s.avoidUntil:
 						t.Fatalf("sent to one that is to be left alone")
 					}
 					if m.tries++; m.tries == 1 {
 						first++
-					} else if o.Again {
+					} else if o.Retry {
 						further++
 					}
-					m.at, m.era = o.Server, s.era
+					m.at, m.incarnation = o.Server, s.incarnation
 					m.out[o.Try] = o
 				}
 			}
-			d.Orders = d.Orders[:0]
+			d.Actions = d.Actions[:0]
 			if all, out := d.Listed(); out > all/2 {
 				t.Fatalf("%d of %d are left out", out, all)
 			}
@@ -512,7 +512,7 @@
 			for _, m := range asked {
 				crossed += m.crossings
 			}
-			if share := max(terms.Share, 0); float64(further-crossed) > 1+share*float64(first)+1e-6 {
+			if share := max(terms.RetryShare, 0); float64(further-crossed) > 1+share*float64(first)+1e-6 {
 				t.Fatalf("%d further tries for %d first ones", further, first)
 			}
 		}
@@ -537,7 +537,7 @@
 			}), func(a, b int) int { return a - b })
 			return id, m, try
 		}
-		conn := func(want ...link) (int, bool) {
+		conn := func(want ...connState) (int, bool) {
 			var all []int
 			for k := range len(d.conns) {
 				if slices.Contains(want, conns[k]) {
@@ -554,9 +554,9 @@
 			"ask": func(t *rapid.T) {
 				kind := rapid.SampledFrom([]rpc.Kind{rpc.Idempotent, rpc.Tokened, rpc.NonIdempotent}).Draw(t, "kind")
 				due := now + rapid.Float64Range(-0.1, 3).Draw(t, "within")
-				id := d.Ask(now, rapid.IntRange(0, 2).Draw(t, "method"), kind, rapid.Float64Range(0, 0.9).Draw(t, "crit"), due)
+				id := d.Submit(now, rapid.IntRange(0, 2).Draw(t, "method"), kind, rapid.Float64Range(0, 0.9).Draw(t, "crit"), due)
 				if rpcs[id] == nil {
-					rpcs[id] = &model{kind: kind, deadline: due, out: map[int]Order{}}
+					rpcs[id] = &model{kind: kind, deadline: due, out: map[int]Action{}}
 				}
 				asked = append(asked, rpcs[id])
 				settle()
@@ -585,7 +585,7 @@
 				if m == nil {
 					t.Skip()
 				}
-				if m.out[try].Again {
+				if m.out[try].Retry {
 					further--
 				}
 				delete(m.out, try)
@@ -600,7 +600,7 @@
 				if m == nil {
 					t.Skip()
 				}
-				d.Gone(now, id, rapid.Bool().Draw(t, "late"))
+				d.Abandon(now, id, rapid.Bool().Draw(t, "late"))
 				settle()
 			},
 			"connected": func(t *rapid.T) {
@@ -647,7 +647,7 @@
 			},
 			"checked": func(t *rapid.T) {
 				for k := range d.conns {
-					if d.conns[k].state == up && d.conns[k].check && d.conns[k].owes {
+					if d.conns[k].state == up && d.conns[k].healthCheck && d.conns[k].checkPending {
 						d.Checked(now, k, rapid.Bool().Draw(t, "well"), 2)
 						settle()
 						return
@@ -663,7 +663,7 @@
 				now += rapid.SampledFrom([]float64{0.001, 0.02, 0.2, 2}).Draw(t, "passes")
 				for id, m := range rpcs {
 					if !m.ended && now >= m.deadline {
-						d.Gone(now, id, true)
+						d.Abandon(now, id, true)
 					}
 				}
 				d.Tick(now)
--- a/logic/attempt/budget.go
+++ b/logic/attempt/budget.go
@@ -2,14 +2,14 @@
 
 import "math"
 
-// Budget bounds further tries to a share of the first ones. Each first try earns a share of a further one. What
-// is not spent is lost again within the span, so a long outage cannot save up a storm for its end.
+// Budget bounds retries to a share of the first tries. Each first try earns a share of a retry. What is not spent
+// is lost within budgetSpan, so that a long outage does not save up a retry storm for its end.
 type Budget struct {
-	Share float64 // further tries for each first one; 0 for none
-	have  float64
-	first float64 // first tries of late, fading with the span
-	at    float64 // when both were last brought up to date
-	begun bool
+	Share      float64 // retries for each first try; 0 for none
+	tokens     float64
+	firstTries float64 // recent first tries, decaying over budgetSpan
+	updatedAt  float64 // when both were last brought up to date
+	started    bool
 }
 
 const (
@@ -22,37 +22,37 @@
 
 // fade brings both figures up to now.
 func (b *Budget) fade(now float64) {
-	if !b.begun {
-		b.begun, b.have, b.at = true, budgetStart, now
+	if !b.started {
+		b.started, b.tokens, b.updatedAt = true, budgetStart, now
 	}
-	if now > b.at {
-		b.first *= math.Exp(-(now - b.at) / budgetSpan)
-		b.at = now
+	if now > b.updatedAt {
+		b.firstTries *= math.Exp(-(now - b.updatedAt) / budgetSpan)
+		b.updatedAt = now
 	}
-	b.have = min(b.have, max(budgetStart, b.Share*b.first))
+	b.tokens = min(b.tokens, max(budgetStart, b.Share*b.firstTries))
 }
 
-// Earn takes note of a first try.
+// Earn records a first try.
 func (b *Budget) Earn(now float64) {
 	b.fade(now)
-	b.first++
-	b.have = min(b.have+b.Share, max(budgetStart, b.Share*b.first))
+	b.firstTries++
+	b.tokens = min(b.tokens+b.Share, max(budgetStart, b.Share*b.firstTries))
 }
 
-// Left is how many further tries are open now.
-func (b *Budget) Left(now float64) float64 {
+// Available returns how many retries may be spent now.
+func (b *Budget) Available(now float64) float64 {
 	b.fade(now)
 	if b.Share <= 0 {
 		return 0
 	}
-	return b.have
+	return b.tokens
 }
 
-// Spend takes one further try, if there is one.
+// Spend takes one retry from the budget, and reports whether there was one.
 func (b *Budget) Spend(now float64) bool {
-	if b.Left(now) < 1 {
+	if b.Available(now) < 1 {
 		return false
 	}
-	b.have--
+	b.tokens--
 	return true
 }
--- a/logic/attempt/connections.go
+++ b/logic/attempt/connections.go
@@ -2,18 +2,18 @@
 
 import "math"
 
-// link is where a connection stands; only pass changes it.
-type link uint8
+// connState is the state of a connection; only setConnState changes it.
+type connState uint8
 
 const (
-	none link = iota
+	none connState = iota
 	dialing
 	up
 	ending // no new RPC goes there; closed when it is empty
-	links
+	connStateCount
 )
 
-var mayPass = [links][links]bool{
+var validConnTransitions = [connStateCount][connStateCount]bool{
 	none:    {dialing: true},
 	dialing: {up: true, none: true},
 	up:      {ending: true, none: true},
@@ -22,25 +22,25 @@
 
 // conn is one connection, or the attempt to have one.
 type conn struct {
-	state  link
-	server int
-	check  bool // for health checks
-	open   int
-	used   float64
-	heard  float64 // 0 before the first word
-	asked  float64 // when it last had something to answer and had nothing before
-	next   float64 // health check due
-	owes   bool    // the answer to one
+	state        connState
+	server       int
+	healthCheck  bool // it is used for health checks alone
+	open         int
+	lastUsed     float64
+	lastHeard    float64 // 0 before the first answer
+	askedAt      float64 // when it last had something to answer and had nothing before
+	nextCheck    float64 // time of the next health check
+	checkPending bool    // a health check is not answered yet
 }
 
-func (d *Desk) pass(k int, to link) {
+func (d *Dispatcher) setConnState(k int, to connState) {
 	c := &d.conns[k]
-	if !mayPass[c.state][to] {
+	if !validConnTransitions[c.state][to] {
 		panic("attempt: no such change of a connection")
 	}
 	s := &d.servers[c.server]
 	counted := &s.up
-	if c.check {
+	if c.healthCheck {
 		counted = &s.checks
 	}
 	if c.state == dialing {
@@ -60,42 +60,42 @@
 		}
 		*counted++
 	case none:
-		d.free = append(d.free, k)
+		d.freeConns = append(d.freeConns, k)
 		if s.up+s.checks == 0 {
 			d.forget(s)
 		}
 	}
 }
 
-// forget lets go of what is known of the process at an app server: what answers there from now on may be another.
-func (d *Desk) forget(s *server) {
-	s.era++
-	s.heard, s.credit = math.Inf(-1), 0
-	s.answered, s.lastTook = false, coldTook
-	s.drawn, s.drawAt = false, 0
+// forget drops what is known of the process at an app server: what answers there from now on may be another one.
+func (d *Dispatcher) forget(s *server) {
+	s.incarnation++
+	s.creditAt, s.credit = math.Inf(-1), 0
+	s.answered, s.lastDuration = false, coldDuration
+	s.fractionAllowed, s.redrawAt = false, 0
 }
 
-// hang has a connection closed that carries nothing.
-func (d *Desk) hang(k int) {
-	d.Orders = append(d.Orders, Order{Do: Hang, Conn: k, Server: d.conns[k].server})
-	d.pass(k, none)
+// disconnect closes a connection on which nothing is open.
+func (d *Dispatcher) disconnect(k int) {
+	d.Actions = append(d.Actions, Action{Kind: Disconnect, Conn: k, Server: d.conns[k].server})
+	d.setConnState(k, none)
 }
 
 // connect opens what is wanted: a connection to each app server near that is in use, another where those there are
-// full, one for health checks beside them.
-func (d *Desk) connect(short bool) {
+// full, and one for health checks.
+func (d *Dispatcher) connect(short bool) {
 	if d.closed {
 		return
 	}
 	if short {
-		d.by(max(d.opens(), d.now+firstRest))
+		d.wakeBy(max(d.nextAvailable(), d.now+firstRetryDelay))
 	}
-	for _, at := range d.near() {
+	for _, at := range d.nearest() {
 		s := &d.servers[at]
 		if short {
-			s.used = d.now
+			s.lastUsed = d.now
 		}
-		if d.now-s.used >= d.Idle && len(d.line) == 0 {
+		if d.now-s.lastUsed >= d.IdleTimeout && len(d.queue) == 0 {
 			continue
 		}
 		want, check := false, false
@@ -103,78 +103,78 @@
 		case s.dials > 0:
 		case s.up == 0:
 			want = true
-		case s.checks == 0 && d.Period > 0:
+		case s.checks == 0 && d.CheckPeriod > 0:
 			want, check = true, true
-		case short && s.up < d.Conns && d.lightest(at) < 0 && float64(s.open) < d.allowance(s):
+		case short && s.up < d.MaxConns && d.leastLoadedConn(at) < 0 && float64(s.open) < d.allowance(s):
 			want = true
 		}
 		switch {
 		case !want:
 		case d.now < s.dialAt:
-			d.by(s.dialAt)
-		case d.dialing < d.Dialing:
+			d.wakeBy(s.dialAt)
+		case d.dialing < d.MaxDials:
 			d.dial(at, check)
 		}
 	}
 }
 
-func (d *Desk) dial(at int, check bool) {
-	if len(d.free) == 0 {
-		d.free = append(d.free, len(d.conns))
+func (d *Dispatcher) dial(at int, check bool) {
+	if len(d.freeConns) == 0 {
+		d.freeConns = append(d.freeConns, len(d.conns))
 		d.conns = append(d.conns, conn{})
 	}
-	k := d.free[len(d.free)-1]
-	d.free = d.free[:len(d.free)-1]
-	d.conns[k] = conn{server: at, check: check, used: d.now}
-	d.pass(k, dialing)
+	k := d.freeConns[len(d.freeConns)-1]
+	d.freeConns = d.freeConns[:len(d.freeConns)-1]
+	d.conns[k] = conn{server: at, healthCheck: check, lastUsed: d.now}
+	d.setConnState(k, dialing)
 	d.Count.Dials++
-	d.Orders = append(d.Orders, Order{Do: Dial, Conn: k, Server: at})
+	d.Actions = append(d.Actions, Action{Kind: Dial, Conn: k, Server: at})
 }
 
 // ServerOf is the app server of a connection.
-func (d *Desk) ServerOf(k int) int { return d.conns[k].server }
+func (d *Dispatcher) ServerOf(k int) int { return d.conns[k].server }
 
-// Connected tells that a connection is there.
-func (d *Desk) Connected(now float64, k int) {
-	d.clock(now)
+// Connected reports that a connection has been established.
+func (d *Dispatcher) Connected(now float64, k int) {
+	d.advance(now)
 	c := &d.conns[k]
-	d.pass(k, up)
-	c.used, c.next = d.now, d.now
-	if d.servers[c.server].standing == leaving || d.closed {
-		d.pass(k, ending)
-		d.settle(c.server)
+	d.setConnState(k, up)
+	c.lastUsed, c.nextCheck = d.now, d.now
+	if d.servers[c.server].serverState == leaving || d.closed {
+		d.setConnState(k, ending)
+		d.closeDrained(c.server)
 	}
-	if c.check {
-		d.tend()
+	if c.healthCheck {
+		d.checkTimers()
 	}
-	d.pump()
+	d.dispatch()
 }
 
-// NotConnected tells that a connect failed.
-func (d *Desk) NotConnected(now float64, k int) {
-	d.clock(now)
+// NotConnected reports that a connect failed.
+func (d *Dispatcher) NotConnected(now float64, k int) {
+	d.advance(now)
 	c := &d.conns[k]
-	d.pass(k, none)
+	d.setConnState(k, none)
 	d.Count.DialsFailed++
-	d.later(c.server)
-	d.settle(c.server)
-	d.pump()
+	d.backOff(c.server)
+	d.closeDrained(c.server)
+	d.dispatch()
 }
 
-// later puts the next connect off, further with each that failed.
-func (d *Desk) later(at int) {
+// backOff delays the next connect, longer with each one that failed.
+func (d *Dispatcher) backOff(at int) {
 	s := &d.servers[at]
-	s.dialAt = d.now + d.chance.Spread(d.First, d.Most, s.failed)
-	if s.failed++; s.failed == unmet {
-		d.tell(at, Unmet)
+	s.dialAt = d.now + d.chance.Spread(d.FirstBackoff, d.MaxBackoff, s.failedDials)
+	if s.failedDials++; s.failedDials == unreachableAfter {
+		d.report(at, Unreachable)
 	}
-	d.by(s.dialAt)
+	d.wakeBy(s.dialAt)
 }
 
-// Dropped tells that a connection has ended from the other side, or for what came on it (faulty). Its tries are
+// Dropped reports that a connection was ended by the other side, or for what arrived on it (faulty). Its tries are
 // lost: how far they came, nobody knows.
-func (d *Desk) Dropped(now float64, k int, faulty bool) {
-	d.clock(now)
+func (d *Dispatcher) Dropped(now float64, k int, faulty bool) {
+	d.advance(now)
 	c := d.conns[k]
 	if c.state == none {
 		return
@@ -182,55 +182,55 @@
 	at := c.server
 	s := &d.servers[at]
 	asked := c.state == ending
-	d.pass(k, none)
+	d.setConnState(k, none)
 	if c.open > 0 || faulty {
 		d.Count.Lost++
-		d.strike(at)
+		d.recordFailure(at)
 	}
 	switch {
-	case faulty, s.up+s.checks == 0 && !asked, c.heard == 0 && !c.check:
+	case faulty, s.up+s.checks == 0 && !asked, c.lastHeard == 0 && !c.healthCheck:
 		// The process may be gone, and then all its callers come back together; or it takes connections only to end
 		// them.
-		d.later(at)
-	case c.open > 0, c.check:
-		s.dialAt = max(s.dialAt, d.now+d.chance.Spread(firstRest, d.First, 0))
-		d.by(s.dialAt)
+		d.backOff(at)
+	case c.open > 0, c.healthCheck:
+		s.dialAt = max(s.dialAt, d.now+d.chance.Spread(firstRetryDelay, d.FirstBackoff, 0))
+		d.wakeBy(s.dialAt)
 	}
 	for i := range d.rpcs {
 		w := &d.rpcs[i]
-		for j := range w.out {
-			if t := w.out[j]; t.number > 0 && t.conn == k {
-				w.out[j] = try{}
+		for j := range w.inFlight {
+			if t := w.inFlight[j]; t.number > 0 && t.conn == k {
+				w.inFlight[j] = try{}
 				s.open--
-				d.lost(i, t)
+				d.connectionLost(i, t)
 				break // of a hedged RPC the other try is elsewhere
 			}
 		}
 	}
 	d.conns[k].open = 0
-	d.settle(at)
-	d.pump()
+	d.closeDrained(at)
+	d.dispatch()
 }
 
-// Draining tells that an app server asked for no new RPC on a connection.
-func (d *Desk) Draining(now float64, k int) {
-	d.clock(now)
+// Draining reports that an app server asked for no new RPC on a connection.
+func (d *Dispatcher) Draining(now float64, k int) {
+	d.advance(now)
 	if c := &d.conns[k]; c.state == up {
-		c.heard = d.now
-		d.pass(k, ending)
-		d.settle(c.server)
-		d.pump()
+		c.lastHeard = d.now
+		d.setConnState(k, ending)
+		d.closeDrained(c.server)
+		d.dispatch()
 	}
 }
 
-// tend looks at what time alone changes at app servers and connections.
-func (d *Desk) tend() {
+// checkTimers handles what is due at app servers and connections.
+func (d *Dispatcher) checkTimers() {
 	for at := range d.servers {
-		if s := &d.servers[at]; s.standing == excluded {
-			if d.now >= s.until {
-				d.stand(at, probing)
+		if s := &d.servers[at]; s.serverState == excluded {
+			if d.now >= s.excludedUntil {
+				d.setServerState(at, probing)
 			} else {
-				d.by(s.until)
+				d.wakeBy(s.excludedUntil)
 			}
 		}
 	}
@@ -238,33 +238,33 @@
 		c := &d.conns[k]
 		switch {
 		case c.state != up:
-		case c.check && d.servers[c.server].up == 0 && d.now-d.servers[c.server].used >= d.Idle:
-			d.hang(k)
-		case c.check && d.now < c.next:
-			d.by(c.next)
-		case c.check && c.owes: // a whole period without an answer
-			d.mute(k)
-		case c.check:
-			c.owes = true
-			c.next = d.now + d.Period*(0.75+d.chance.Draw()/2)
-			d.Orders = append(d.Orders, Order{Do: Check, Conn: k, Server: c.server})
-			d.by(c.next)
-		case c.open > 0 && d.now-max(c.asked, c.heard) >= silence:
-			d.mute(k)
+		case c.healthCheck && d.servers[c.server].up == 0 && d.now-d.servers[c.server].lastUsed >= d.IdleTimeout:
+			d.disconnect(k)
+		case c.healthCheck && d.now < c.nextCheck:
+			d.wakeBy(c.nextCheck)
+		case c.healthCheck && c.checkPending: // a whole period without an answer
+			d.dropSilent(k)
+		case c.healthCheck:
+			c.checkPending = true
+			c.nextCheck = d.now + d.CheckPeriod*(0.75+d.chance.Draw()/2)
+			d.Actions = append(d.Actions, Action{Kind: CheckHealth, Conn: k, Server: c.server})
+			d.wakeBy(c.nextCheck)
+		case c.open > 0 && d.now-max(c.askedAt, c.lastHeard) >= silenceTimeout:
+			d.dropSilent(k)
 		case c.open > 0:
-			d.by(max(c.asked, c.heard) + silence)
-		case d.now-c.used >= d.Idle:
+			d.wakeBy(max(c.askedAt, c.lastHeard) + silenceTimeout)
+		case d.now-c.lastUsed >= d.IdleTimeout:
 			at := c.server
-			d.hang(k)
-			d.settle(at)
+			d.disconnect(k)
+			d.closeDrained(at)
 		default:
-			d.by(c.used + d.Idle)
+			d.wakeBy(c.lastUsed + d.IdleTimeout)
 		}
 	}
 }
 
-// mute gives up a connection on which nothing is answered any more.
-func (d *Desk) mute(k int) {
-	d.Orders = append(d.Orders, Order{Do: Hang, Conn: k, Server: d.conns[k].server})
+// dropSilent closes a connection on which nothing is answered any more, and treats it as faulty.
+func (d *Dispatcher) dropSilent(k int) {
+	d.Actions = append(d.Actions, Action{Kind: Disconnect, Conn: k, Server: d.conns[k].server})
 	d.Dropped(d.now, k, true)
 }
--- a/logic/attempt/selection.go
+++ b/logic/attempt/selection.go
@@ -8,22 +8,22 @@
 	"valveglade/rpc"
 )
 
-// lightest is the connection with the fewest open RPCs, -1 if none has room.
-func (d *Desk) lightest(at int) int {
+// leastLoadedConn returns the connection with the fewest open RPCs, -1 if none has room.
+func (d *Dispatcher) leastLoadedConn(at int) int {
 	best := -1
 	for k := range d.conns {
 		c := &d.conns[k]
-		if c.server == at && c.state == up && !c.check && c.open < MostOpen && (best < 0 || c.open < d.conns[best].open) {
+		if c.server == at && c.state == up && !c.healthCheck && c.open < MaxOpen && (best < 0 || c.open < d.conns[best].open) {
 			best = k
 		}
 	}
 	return best
 }
 
-// choose gives the app server for an RPC, -1 if none has room: the better of two drawn ones.
-func (d *Desk) choose(w *work, not int) int {
+// chooseServer returns the app server for an RPC, -1 if none has room: the better of two drawn at random.
+func (d *Dispatcher) chooseServer(w *request, not int) int {
 	if w.pinned {
-		if s := &d.servers[w.server]; d.now >= s.away && s.open < max(int(d.allowance(s)), 1) && d.lightest(w.server) >= 0 {
+		if s := &d.servers[w.server]; d.now >= s.avoidUntil && s.open < max(int(d.allowance(s)), 1) && d.leastLoadedConn(w.server) >= 0 {
 			return w.server
 		}
 		return -1
@@ -31,16 +31,16 @@
 	var can, sick []int
 	for at := range d.servers {
 		s := &d.servers[at]
-		if at == not || s.up == 0 || !d.room(s) || d.lightest(at) < 0 {
+		if at == not || s.up == 0 || !d.hasRoom(s) || d.leastLoadedConn(at) < 0 {
 			continue
 		}
-		if s.standing == probing { // its one RPC goes first, or it would never be seen whether it is back
-			if w.kind == rpc.Idempotent || d.now > s.until+probeAny {
+		if s.serverState == probing { // its one RPC goes first, or it would never be seen whether it is back
+			if w.kind == rpc.Idempotent || d.now > s.excludedUntil+probeAnyKindAfter {
 				return at
 			}
 			continue
 		}
-		if s.unwell {
+		if s.unhealthy {
 			sick = append(sick, at)
 		} else {
 			can = append(can, at)
@@ -68,34 +68,34 @@
 	return can[a]
 }
 
-// cost is what a further try would meet at an app server: how full it is, times how slow it has been.
-func (d *Desk) cost(at int, w *work) float64 {
+// cost estimates what a try would take at an app server: how full it is, times how slow it has been.
+func (d *Dispatcher) cost(at int, w *request) float64 {
 	s := &d.servers[at]
-	// What it said last counts here even when it is too old to send by: an app server that is passed over for having
-	// said nothing of late would never be asked again.
+	// Its last credit counts here even when it is too old to send by: an app server that is passed over for a credit
+	// that is not recent would never be asked again.
 	most := firstCredit
-	if !math.IsInf(s.heard, -1) {
+	if !math.IsInf(s.creditAt, -1) {
 		most = s.credit
 	}
-	if warm := (d.now - s.back) / gentle; warm < 1 {
-		most *= max(warm, gentleFrom)
+	if warm := (d.now - s.readmittedAt) / rampUp; warm < 1 {
+		most *= max(warm, rampUpFrom)
 	}
-	c := max(s.took, leastTook) * float64(s.open+1) / max(most, 1) // a fraction has been drawn
+	c := max(s.meanDuration, minDuration) * float64(s.open+1) / max(most, 1) // a fraction has been drawn
 	if w.server == at && w.tries > 0 {
 		c *= 2
 	}
 	return c
 }
 
-// opensAt is the earliest time at which an app server may take one more, as far as can be told.
-func (d *Desk) opensAt(at int) float64 {
+// availableAt estimates the earliest time at which an app server may take one more try.
+func (d *Dispatcher) availableAt(at int) float64 {
 	s := &d.servers[at]
-	opens := max(d.now, s.away)
-	if s.fresh(d.now) && s.credit <= 0 {
-		opens = max(opens, s.heard+creditFor)
+	opens := max(d.now, s.avoidUntil)
+	if s.creditFresh(d.now) && s.credit <= 0 {
+		opens = max(opens, s.creditAt+creditLifetime)
 	}
-	if s.standing == excluded {
-		opens = max(opens, s.until)
+	if s.serverState == excluded {
+		opens = max(opens, s.excludedUntil)
 	}
 	if s.up == 0 && s.dials == 0 {
 		opens = max(opens, s.dialAt)
@@ -103,11 +103,11 @@
 	return opens
 }
 
-func (d *Desk) opens() float64 {
+func (d *Dispatcher) nextAvailable() float64 {
 	opens := math.Inf(1)
 	for at := range d.servers {
-		if s := d.servers[at].standing; s != unlisted && s != leaving {
-			opens = min(opens, d.opensAt(at))
+		if s := d.servers[at].serverState; s != unlisted && s != leaving {
+			opens = min(opens, d.availableAt(at))
 		}
 	}
 	if math.IsInf(opens, 1) {
@@ -116,40 +116,40 @@
 	return opens
 }
 
-func (d *Desk) opensFor(w *work) float64 {
+func (d *Dispatcher) availableFor(w *request) float64 {
 	if w.pinned {
-		return d.opensAt(w.server)
+		return d.availableAt(w.server)
 	}
-	return d.opens()
+	return d.nextAvailable()
 }
 
-// whyShut says why nothing could be sent at all.
-func (d *Desk) whyShut() Cause {
+// unavailableCause returns why nothing could be sent at all.
+func (d *Dispatcher) unavailableCause() Cause {
 	for at := range d.servers {
-		if s := &d.servers[at]; s.up > 0 && s.standing != leaving {
+		if s := &d.servers[at]; s.up > 0 && s.serverState != leaving {
 			return Refused
 		}
 	}
 	return NoServer
 }
 
-// near gives the app servers that this client keeps to: the first by its own rank that can be reached.
-func (d *Desk) near() []int {
+// nearest returns the app servers that this client uses: the first ones, in its own order, that can be reached.
+func (d *Dispatcher) nearest() []int {
 	var all []int
 	for at := range d.servers {
-		if s := &d.servers[at]; s.standing != unlisted && s.standing != leaving {
+		if s := &d.servers[at]; s.serverState != unlisted && s.serverState != leaving {
 			all = append(all, at)
 		}
 	}
 	slices.SortFunc(all, func(a, b int) int {
 		x, y := &d.servers[a], &d.servers[b]
 		failing := func(s *server) int {
-			if s.standing == excluded || s.failed >= unmet {
+			if s.serverState == excluded || s.failedDials >= unreachableAfter {
 				return 1
 			}
 			return 0
 		}
 		return cmp.Or(cmp.Compare(failing(x), failing(y)), cmp.Compare(x.rank, y.rank))
 	})
-	return all[:min(len(all), d.Near)]
+	return all[:min(len(all), d.MaxServers)]
 }
--- a/logic/attempt/tries.go
+++ b/logic/attempt/tries.go
@@ -6,110 +6,110 @@
 	"valveglade/rpc"
 )
 
-// Unsent tells that no byte of a try was written, as its connection had ended.
-func (d *Desk) Unsent(now float64, id ID, number int) {
-	d.clock(now)
-	if d.holds(id) && d.drop(id.Index, number) {
+// Unsent reports that no byte of a try was written, as its connection had ended.
+func (d *Dispatcher) Unsent(now float64, id ID, number int) {
+	d.advance(now)
+	if d.isOpen(id) && d.endTry(id.Index, number) {
 		d.Count.Tries-- // it never left
-		d.again(id.Index, NeverSent, Lost, 0)
-		d.pump()
+		d.retryOrFinish(id.Index, NeverSent, Lost, 0)
+		d.dispatch()
 	}
 }
 
-// Answered tells of an app server's answer to a try: how it ended, whether no other is to be tried, for how long
-// to stay away, the credit (below 0 for none).
-func (d *Desk) Answered(now float64, id ID, number int, how Cause, last bool, after, credit float64) {
-	d.clock(now)
-	if !d.holds(id) {
+// Answered reports an app server's answer to a try: how it ended, whether no other is to be tried, for how many
+// seconds to stay away, and the credit (below 0 for none).
+func (d *Dispatcher) Answered(now float64, id ID, number int, how Cause, last bool, after, credit float64) {
+	d.advance(now)
+	if !d.isOpen(id) {
 		return
 	}
 	w := &d.rpcs[id.Index]
-	t := w.find(number)
+	t := w.findTry(number)
 	if t == nil {
 		return
 	}
 	at, sent := d.conns[t.conn].server, t.sent
-	d.conns[t.conn].heard = d.now
-	d.credit(at, credit)
-	d.drop(id.Index, number)
+	d.conns[t.conn].lastHeard = d.now
+	d.setCredit(at, credit)
+	d.endTry(id.Index, number)
 	switch how {
 	case Served:
 		d.Count.Served++
-		d.well(at, d.now-sent)
-		if took := &d.took[w.method]; *took == 0 {
+		d.recordSuccess(at, d.now-sent)
+		if took := &d.durations[w.method]; *took == 0 {
 			*took = d.now - sent
 		} else {
-			*took += learn * (d.now - sent - *took)
+			*took += smoothing * (d.now - sent - *took)
 		}
 		w.reach = Ran
 		d.finish(id.Index, Served)
 	case Refused:
 		d.Count.Refused++
-		after = min(max(after, 0), mostAway)
+		after = min(max(after, 0), maxRetryAfter)
 		s := &d.servers[at]
-		d.met(at)
-		s.away = max(s.away, d.now+after)
-		w.last = w.last || last
-		d.again(id.Index, PushedBack, Refused, after)
+		d.recordAnswer(at)
+		s.avoidUntil = max(s.avoidUntil, d.now+after)
+		w.noRetry = w.noRetry || last
+		d.retryOrFinish(id.Index, PushedBack, Refused, after)
 	default:
-		d.strike(at)
-		d.again(id.Index, Ran, Aborted, 0)
+		d.recordFailure(at)
+		d.retryOrFinish(id.Index, Ran, Aborted, 0)
 	}
-	d.pump()
+	d.dispatch()
 }
 
-func (w *work) find(number int) *try {
-	for k := range w.out {
-		if number > 0 && w.out[k].number == number {
-			return &w.out[k]
+func (w *request) findTry(number int) *try {
+	for k := range w.inFlight {
+		if number > 0 && w.inFlight[k].number == number {
+			return &w.inFlight[k]
 		}
 	}
 	return nil
 }
 
-// drop takes a try off its connection; it tells whether the try was out.
-func (d *Desk) drop(i, number int) bool {
-	t := d.rpcs[i].find(number)
+// endTry removes a try from its connection, and reports whether it was in flight.
+func (d *Dispatcher) endTry(i, number int) bool {
+	t := d.rpcs[i].findTry(number)
 	if t == nil {
 		return false
 	}
 	c := &d.conns[t.conn]
 	c.open--
-	c.used = d.now
+	c.lastUsed = d.now
 	d.servers[c.server].open--
 	*t = try{}
-	d.settle(c.server)
+	d.closeDrained(c.server)
 	return true
 }
 
-// again decides what becomes of an RPC of which a try has failed, having come as far as reach. Nothing is kept
-// back: what may not be tried again in time is told to the caller now.
-func (d *Desk) again(i int, reach Reach, cause Cause, after float64) {
+// retryOrFinish decides what becomes of an RPC of which a try has failed, having come as far as reach. Nothing is kept
+// back: what cannot be retried in time is returned to the caller now.
+func (d *Dispatcher) retryOrFinish(i int, reach Reach, cause Cause, after float64) {
 	w := &d.rpcs[i]
 	w.reach = max(w.reach, reach)
 	w.cause, w.after = cause, after
-	if w.state == doubled { // the other try may still bring it
-		d.move(i, out)
+	if w.state == inFlightTwice { // the other try may still bring it
+		d.setState(i, inFlight)
 		return
 	}
 	ready := d.now + after
 	if after == 0 && reach != NeverSent {
-		ready += d.chance.Spread(firstRest, mostRest, w.tries-1)
+		ready += d.chance.Spread(firstRetryDelay, maxRetryDelay, w.tries-1)
 	}
 	switch {
 	case d.now >= w.deadline:
 		d.finish(i, Late)
 		return
-	case w.last, d.closed, w.kind == rpc.NonIdempotent && w.reach != NeverSent:
+	case w.noRetry, d.closed, w.kind == rpc.NonIdempotent && w.reach != NeverSent:
 		d.finish(i, cause)
 		return
-	case ready+d.took[w.method]/2 >= w.deadline: // it could not end in time
+	case ready+d.durations[w.method]/2 >= w.deadline: // it could not end in time
 		d.finish(i, cause)
 		return
 	}
 	if w.kind == rpc.Tokened && w.reach >= Sent {
-		w.pinned = true // its era is that of the last try
-		if !d.sameLife(w) {
+		w.pinned = true // to the incarnation of the last try
+		if !d.sameIncarnation(w) {
 			d.finish(i, cause)
 			return
 		}
@@ -119,50 +119,50 @@
 		d.finish(i, cause)
 		return
 	}
-	w.ready = ready
+	w.retryAt = ready
 	if ready <= d.now {
-		d.move(i, waiting)
+		d.setState(i, waiting)
 		return
 	}
-	d.move(i, resting)
-	d.by(ready)
+	d.setState(i, backingOff)
+	d.wakeBy(ready)
 }
 
-// sameLife tells whether the app server that may have run a tokened RPC is still the process that it was: only
+// sameIncarnation reports whether the app server that may have run a tokened RPC is still the same process: only
 // that one knows the token. Another under its address would run it a second time.
-func (d *Desk) sameLife(w *work) bool {
+func (d *Dispatcher) sameIncarnation(w *request) bool {
 	s := &d.servers[w.server]
-	return d.Remembers || s.up+s.checks > 0 && s.era == w.era
+	return d.TokensPersist || s.up+s.checks > 0 && s.incarnation == w.incarnation
 }
 
-// pump sends what waits to where there is room, and connects where there is none.
-func (d *Desk) pump() {
-	short := false // some that waits found no room
-	for k := 0; k < len(d.line); {
-		i := d.line[k]
+// dispatch sends what waits to where there is room, and connects where there is none.
+func (d *Dispatcher) dispatch() {
+	short := false // something that waits found no room
+	for k := 0; k < len(d.queue); {
+		i := d.queue[k]
 		w := &d.rpcs[i]
 		switch {
-		case w.pinned && !d.sameLife(w):
+		case w.pinned && !d.sameIncarnation(w):
 			d.finish(i, w.cause)
 			continue
-		case d.now >= w.deadline, w.tries > 0 && d.now+d.took[w.method]/2 >= w.deadline: // it could not end in time
+		case d.now >= w.deadline, w.tries > 0 && d.now+d.durations[w.method]/2 >= w.deadline: // it could not end in time
 			d.finish(i, cmp.Or(w.cause, Late))
 			continue
 		}
 		if short && !w.pinned {
 			k++
-			if len(d.line) > 64 && k > 64 { // only pinned ones are looked for past the first
+			if len(d.queue) > 64 && k > 64 { // only pinned ones are looked for past the first
 				break
 			}
 			continue
 		}
-		at := d.choose(w, -1)
+		at := d.chooseServer(w, -1)
 		if at >= 0 {
 			d.send(i, at)
 			continue
 		}
-		if opens := d.opensFor(w); opens+d.took[w.method]/2 >= w.deadline {
-			d.finish(i, cmp.Or(w.cause, d.whyShut()))
+		if opens := d.availableFor(w); opens+d.durations[w.method]/2 >= w.deadline {
+			d.finish(i, cmp.Or(w.cause, d.unavailableCause()))
 			continue
 		}
 		short = short || !w.pinned
@@ -171,12 +171,12 @@
 	d.connect(short)
 }
 
-// send has a waiting RPC written to an app server, or an outgoing one a second time.
-func (d *Desk) send(i, at int) {
+// send sends a waiting RPC to an app server, or a second try of one in flight.
+func (d *Dispatcher) send(i, at int) {
 	w := &d.rpcs[i]
-	c := d.lightest(at)
+	c := d.leastLoadedConn(at)
 	w.tries++
-	further := w.tries > 1 && w.reach != NeverSent || w.state == out
+	further := w.tries > 1 && w.reach != NeverSent || w.state == inFlight
 	d.Count.Tries++
 	if further {
 		d.Count.Further++
@@ -184,70 +184,70 @@
 		d.budget.Earn(d.now)
 	}
 	k := 0
-	if w.out[0].number > 0 {
+	if w.inFlight[0].number > 0 {
 		k = 1
 	}
-	w.out[k] = try{number: w.tries, conn: c, sent: d.now}
+	w.inFlight[k] = try{number: w.tries, conn: c, sent: d.now}
 	w.server = at
-	w.era = d.servers[at].era
+	w.incarnation = d.servers[at].incarnation
 	d.conns[c].open++
-	d.conns[c].used = d.now
+	d.conns[c].lastUsed = d.now
 	if d.conns[c].open == 1 {
-		d.conns[c].asked = d.now
+		d.conns[c].askedAt = d.now
 	}
 	if s := &d.servers[at]; s.open >= int(d.allowance(s)) {
-		s.drawn = false // the fraction has let out what it may
+		s.fractionAllowed = false // the fraction is used up until the next draw
 	}
 	d.servers[at].open++
-	d.servers[at].used = d.now
-	if w.state == out {
-		d.move(i, doubled)
+	d.servers[at].lastUsed = d.now
+	if w.state == inFlight {
+		d.setState(i, inFlightTwice)
 	} else {
-		d.move(i, out)
+		d.setState(i, inFlight)
 	}
-	d.Orders = append(d.Orders, Order{Do: Send, RPC: d.id(i), Try: w.tries, Conn: c, Server: at, Again: further,
+	d.Actions = append(d.Actions, Action{Kind: Send, RPC: d.id(i), Try: w.tries, Conn: c, Server: at, Retry: further,
 		Deadline: w.deadline})
-	if d.Hedge > 0 && w.kind == rpc.Idempotent && !w.hedged {
-		d.by(w.out[0].sent + d.Hedge)
+	if d.HedgeAfter > 0 && w.kind == rpc.Idempotent && !w.hedged {
+		d.wakeBy(w.inFlight[0].sent + d.HedgeAfter)
 	}
 }
 
-// hedge sends a second try of idempotent RPCs that have been out for long, elsewhere, out of the same budget.
-func (d *Desk) hedge() {
-	if d.Hedge <= 0 {
+// hedge sends a second try of idempotent RPCs that have been in flight for long to another app server, out of the same budget.
+func (d *Dispatcher) hedge() {
+	if d.HedgeAfter <= 0 {
 		return
 	}
 	for i := range d.rpcs {
 		w := &d.rpcs[i]
-		if w.state != out || w.kind != rpc.Idempotent || w.hedged || w.last {
+		if w.state != inFlight || w.kind != rpc.Idempotent || w.hedged || w.noRetry {
 			continue
 		}
-		sent := max(w.out[0].sent, w.out[1].sent)
-		if d.now < sent+d.Hedge {
-			d.by(sent + d.Hedge)
+		sent := max(w.inFlight[0].sent, w.inFlight[1].sent)
+		if d.now < sent+d.HedgeAfter {
+			d.wakeBy(sent + d.HedgeAfter)
 			continue
 		}
 		w.hedged = true
-		if d.now+d.took[w.method]/2 >= w.deadline {
+		if d.now+d.durations[w.method]/2 >= w.deadline {
 			continue
 		}
-		if at := d.choose(w, w.server); at >= 0 && d.budget.Spend(d.now) {
+		if at := d.chooseServer(w, w.server); at >= 0 && d.budget.Spend(d.now) {
 			d.Count.Hedges++
 			d.send(i, at)
 		}
 	}
 }
 
-// lost decides about an RPC whose connection has ended under a try. One that crossed a close of an idle connection
+// connectionLost decides about an RPC whose connection has ended under a try. One that crossed a close of an idle connection
 // is sent again once, beside the budget, as the protocol has it; still only if a second run does no harm.
-func (d *Desk) lost(i int, t try) {
+func (d *Dispatcher) connectionLost(i int, t try) {
 	w := &d.rpcs[i]
-	if w.state == out && !w.crossed && d.now-t.sent <= Crossing && !d.conns[t.conn].owes &&
+	if w.state == inFlight && !w.resent && d.now-t.sent <= Crossing && !d.conns[t.conn].checkPending &&
 		d.conns[t.conn].open == 1 && w.kind == rpc.Idempotent && d.servers[w.server].up+d.servers[w.server].checks > 0 {
-		w.crossed = true
+		w.resent = true
 		w.reach, w.cause = max(w.reach, Sent), Lost
-		d.move(i, waiting)
+		d.setState(i, waiting)
 		return
 	}
-	d.again(i, Sent, Lost, 0)
+	d.retryOrFinish(i, Sent, Lost, 0)
 }
