hollow: names and comments of the crowd in ordinary terms

take, echo, up, round, pick, reborn and Sees are handleMessage, viewPayload, isUp, sendDue, randomIndex, newIncarnation and SetView; doc comments say what a function does and returns. go test ./rig/hollow passes.

--- a/logic/attempt/tries.go
+++ b/logic/attempt/tries.go
@@ -239,7 +239,7 @@
 }
 
 // connectionLost decides about an RPC whose connection has ended under a try. One that crossed a close of an idle connection
-// is sent again once, beside the budget, as the protocol has it; still only if a second run does no harm.
+// is sent again once, outside the budget, as the protocol has it; still only if a second run does no harm.
 func (d *Dispatcher) connectionLost(i int, t try) {
 	w := &d.rpcs[i]
 	if w.state == inFlight && !w.resent && d.now-t.sent <= Crossing && !d.conns[t.conn].checkPending &&
--- a/rig/hollow/crowd.go
+++ b/rig/hollow/crowd.go
@@ -12,9 +12,9 @@
 	"valveglade/logic/view"
 )
 
-// Crowd stands in for the rest of a large fleet toward a few real members: it answers their probes in the names of all others,
-// and sends them the packets that those would. It keeps one table for all, so a name costs it no memory and no CPU of its own.
-// What the real members send and receive is what they would in a fleet of that size.
+// Crowd simulates the rest of a large fleet for a few real members: it answers their probes on behalf of all others, and sends them
+// the packets that those would send. One table holds all of them, so that a member needs no goroutine and no socket of its own. The
+// real members send and receive what they would in a fleet of that size.
 type Crowd struct {
 	size    int // of the whole fleet
 	random  *rand.Rand
@@ -25,16 +25,16 @@
 	mu      sync.Mutex
 	members []crowdMember
 	byNode  map[string]int
-	others  map[string]aliveMessage // the last words of real members on themselves, by the library's names
+	others  map[string]aliveMessage // the latest alive messages of real members, by the library's names
 	targets []*Target
 	fast    bool // the targets' queues are being drained
-	acks    int  // since it was last looked at, and their bytes
+	acks    int  // since it was last read, and their bytes
 	ackSize int
 
 	streamBytes atomic.Int64 // sent and received on streams with targets
 }
 
-// crowdMember is one that the crowd stands in for.
+// crowdMember is one simulated member.
 type crowdMember struct {
 	entry       view.Entry
 	incarnation uint32
@@ -48,13 +48,13 @@
 	streams *net.TCPListener
 }
 
-// Target is one real member that a crowd speaks to.
+// Target is one real member that a crowd exchanges messages with.
 type Target struct {
 	Name    string
 	Address netip.AddrPort
-	Pinged  string // the name that the library knows it by; empty where it is not to be probed
+	Pinged  string // its name in the library; empty while it is not to be probed
 	due     []timedMessage
-	version uint64 // of the view that it has, as the crowd tells others
+	version uint64 // of the view that it has, as the crowd reports it
 	digest  uint64
 }
 
@@ -63,7 +63,7 @@
 	message []byte
 }
 
-// The library's figures for a probe every 0.3 s, as member sets them.
+// The library's settings with a probe every 0.3 s, as package member sets them.
 const (
 	probeEvery     = 300 * time.Millisecond
 	gossipEvery    = 105 * time.Millisecond
@@ -75,12 +75,13 @@
 	crowdSockets   = 16
 )
 
-// retransmits is how often a member of a fleet passes each message on; so often each member receives it, on the mean.
+// retransmits returns how many times a member of a fleet passes each message on, which is how many times each member receives it
+// on the mean.
 func retransmits(size int) int {
 	return retransmit * int(math.Ceil(math.Log10(float64(size+1))))
 }
 
-// ExchangeSeconds is how often a member of a fleet exchanges all that it knows with another, in seconds.
+// ExchangeSeconds returns the interval in seconds at which a member of a fleet exchanges its whole state with another.
 func ExchangeSeconds(size int) float64 {
 	if size <= exchangeScaled {
 		return exchangeEvery
@@ -88,12 +89,13 @@
 	return exchangeEvery * (math.Ceil(math.Log2(float64(size))-math.Log2(exchangeScaled)) + 1)
 }
 
-// suspicionTimeout is how long a suspicion stands before it is a death, where others share it.
+// suspicionTimeout returns the time after which a suspicion that others confirm becomes a death.
 func suspicionTimeout(size int) time.Duration {
 	return time.Duration(suspicionTimes * math.Log10(float64(max(size, 10))) * float64(probeEvery))
 }
 
-// NewCrowd stands in for a number of members, from first on by their numbers, in a fleet of a size. Its sockets are at an address.
+// NewCrowd simulates count members, numbered from first on, in a fleet of a size. Its sockets are bound to an address. The caller
+// closes it.
 func NewCrowd(at netip.Addr, first, count, size int, seed uint64) (*Crowd, error) {
 	c := &Crowd{size: size, random: rand.New(rand.NewPCG(seed, 3)), closed: make(chan struct{}), byNode: map[string]int{},
 		others: map[string]aliveMessage{}}
@@ -105,9 +107,9 @@
 		}
 		c.sockets = append(c.sockets, s)
 	}
-	birth := uint64(time.Now().Add(-time.Hour).UnixMilli())
+	number := uint64(time.Now().Add(-time.Hour).UnixMilli())
 	for k := range count {
-		m := crowdMember{entry: entry(first+k, birth), incarnation: 1, socket: k % crowdSockets}
+		m := crowdMember{entry: entry(first+k, number), incarnation: 1, socket: k % crowdSockets}
 		m.entry.Incarnation.Nonce = uint32(first + k)
 		m.entry.Address = c.sockets[m.socket].address.String()
 		c.byNode[nodeName(m.entry)] = k
@@ -141,7 +143,7 @@
 	}
 }
 
-// Close ends it and waits until nothing of it is left.
+// Close stops the crowd and waits for its goroutines.
 func (c *Crowd) Close() {
 	close(c.closed)
 	for _, s := range c.sockets {
@@ -151,7 +153,7 @@
 	c.group.Wait()
 }
 
-// Addresses are where real members may join it.
+// Addresses returns the addresses at which real members may join it.
 func (c *Crowd) Addresses() []netip.AddrPort {
 	var all []netip.AddrPort
 	for _, s := range c.sockets[:3] {
@@ -160,22 +162,22 @@
 	return all
 }
 
-// Add has it speak to a real member too.
+// Add adds a real member to those that the crowd exchanges messages with.
 func (c *Crowd) Add(t *Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.targets = append(c.targets, t)
 }
 
-// Sees has members of the crowd tell of the view that a target has.
-func (c *Crowd) Sees(t *Target, version, digest uint64) {
+// SetView sets the view that members of the crowd report, as a target has it.
+func (c *Crowd) SetView(t *Target, version, digest uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.version, t.digest = version, digest
 }
 
-// StreamBytes is what has passed on streams with targets.
+// StreamBytes returns the bytes that have passed on streams with targets.
 func (c *Crowd) StreamBytes() int64 { return c.streamBytes.Load() }
 
-// Len is how many members it stands in for.
+// Len returns the number of simulated members.
 func (c *Crowd) Len() int { return len(c.members) }
--- a/rig/hollow/crowd_gossip.go
+++ b/rig/hollow/crowd_gossip.go
@@ -25,25 +25,25 @@
 			continue
 		}
 		for _, m := range messages(payload) {
-			c.take(s, m, n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+			c.handleMessage(s, m, n, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
 		}
 	}
 }
 
-// take answers one message of a real member.
-func (c *Crowd) take(s *crowdSocket, m []byte, size int, from netip.AddrPort) {
+// handleMessage handles one message of a real member.
+func (c *Crowd) handleMessage(s *crowdSocket, m []byte, size int, from netip.AddrPort) {
 	if len(m) == 0 {
 		return
 	}
 	switch m[0] {
 	case msgPing:
 		var ping pingMessage
-		if decodeMessage(m[1:], &ping) == nil && c.up(ping.Node) {
+		if decodeMessage(m[1:], &ping) == nil && c.isUp(ping.Node) {
 			c.acknowledge(s, ping.SeqNo, ping.Node, from)
 		}
 	case msgIndirectPing:
 		var ping indirectPingMessage
-		if decodeMessage(m[1:], &ping) == nil && c.up(ping.Node) {
+		if decodeMessage(m[1:], &ping) == nil && c.isUp(ping.Node) {
 			c.acknowledge(s, ping.SeqNo, ping.Node, from)
 		}
 	case msgAck:
@@ -64,7 +64,7 @@
 	}
 }
 
-func (c *Crowd) up(node string) bool {
+func (c *Crowd) isUp(node string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	k, known := c.byNode[node]
@@ -73,12 +73,12 @@
 
 func (c *Crowd) acknowledge(s *crowdSocket, number uint32, node string, to netip.AddrPort) {
 	c.mu.Lock()
-	payload := c.echo(c.byNode[node])
+	payload := c.viewPayload(c.byNode[node])
 	c.mu.Unlock()
 	s.packets.WriteToUDPAddrPort(sealGossip(encodeMessage(msgAck, ackMessage{number, payload})), to)
 }
 
-// learn passes on what a real member says of itself, where it is new.
+// learn passes on the alive message of a real member, if it is newer than the last.
 func (c *Crowd) learn(alive aliveMessage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -89,14 +89,14 @@
 		return
 	}
 	if !slices.ContainsFunc(c.targets, func(t *Target) bool { return strings.HasPrefix(alive.Node, t.Name+"~") }) {
-		return // a former life of one of ours
+		return // a former incarnation of a target
 	}
 	c.others[alive.Node] = alive
 	c.spread(time.Now(), encodeMessage(msgAlive, alive), retransmits(c.size))
 }
 
-// echo is what a member of the crowd says of its view, under the lock: it sees what one of the targets sees.
-func (c *Crowd) echo(k int) []byte {
+// viewPayload returns the view that a member of the crowd reports: that of one of the targets. The lock is held.
+func (c *Crowd) viewPayload(k int) []byte {
 	for offset := range c.targets {
 		if t := c.targets[(k+offset)%len(c.targets)]; t.version > 0 {
 			return echoPayload(t.version, t.digest)
@@ -105,7 +105,7 @@
 	return nil
 }
 
-// refute has a member of the crowd say that it is there.
+// refute has a member of the crowd refute a suspicion.
 func (c *Crowd) refute(claim claimMessage) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -114,20 +114,20 @@
 		return
 	}
 	c.members[k].incarnation = claim.Incarnation + 1
-	c.spread(time.Now(), c.alive(k), retransmits(c.size))
+	c.spread(time.Now(), c.aliveMessageOf(k), retransmits(c.size))
 }
 
-// alive is a member's word on itself, under the lock.
-func (c *Crowd) alive(k int) []byte {
+// aliveMessageOf returns the alive message of a member. The lock is held.
+func (c *Crowd) aliveMessageOf(k int) []byte {
 	m := &c.members[k]
 	at := c.sockets[m.socket].address
 	return encodeMessage(msgAlive, aliveMessage{m.incarnation, nodeName(m.entry), at.Addr().AsSlice(), at.Port(), meta(m.entry), protocolVersions})
 }
 
-// spreadOver is how long a message goes round: each member passes it on in so many rounds after it came.
+// spreadOver is the time over which members pass a message on after it arrived.
 const spreadOver = time.Second
 
-// spread has every target receive a message so often, at times of its own, under the lock.
+// spread schedules a message to reach each target a number of times, at random times of its own. The lock is held.
 func (c *Crowd) spread(from time.Time, message []byte, times int) {
 	first := from.Add(200 * time.Millisecond)
 	for _, t := range c.targets {
@@ -137,7 +137,7 @@
 	}
 }
 
-// gossip sends what is due, a round at a time.
+// gossip sends what is due, in rounds.
 func (c *Crowd) gossip() {
 	tick := time.NewTicker(gossipEvery)
 	defer tick.Stop()
@@ -150,14 +150,14 @@
 			targets := slices.Clone(c.targets)
 			c.mu.Unlock()
 			for _, t := range targets {
-				c.round(t, now)
+				c.sendDue(t, now)
 			}
 		}
 	}
 }
 
-// round sends one target what is due, in as many packets as so many members would.
-func (c *Crowd) round(t *Target, now time.Time) {
+// sendDue sends one target the messages that are due, in as many packets as gossipNodes members would send.
+func (c *Crowd) sendDue(t *Target, now time.Time) {
 	c.mu.Lock()
 	var ready [][]byte
 	t.due = slices.DeleteFunc(t.due, func(m timedMessage) bool {
@@ -172,11 +172,11 @@
 	for len(ready) > 0 {
 		packet, rest := compound(ready[:min(part, len(ready))])
 		ready = append(rest, ready[min(part, len(ready)):]...)
-		c.sockets[c.pick(len(c.sockets))].packets.WriteToUDPAddrPort(sealGossip(packet), t.Address)
+		c.sockets[c.randomIndex(len(c.sockets))].packets.WriteToUDPAddrPort(sealGossip(packet), t.Address)
 	}
 }
 
-func (c *Crowd) pick(n int) int {
+func (c *Crowd) randomIndex(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.random.IntN(n)
--- a/rig/hollow/crowd_probe.go
+++ b/rig/hollow/crowd_probe.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// drainPings is how many probes a millisecond drain a target's queue: an answer takes some of what waits along.
+// drainPings is the number of probes in a millisecond that drain a target's queue: each answer carries some queued messages.
 const drainPings = 1
 
-// probe sends each target a probe from somebody in every interval, and many while its queue is drained.
+// probe sends each target one probe in every interval, and many while queues are drained.
 func (c *Crowd) probe() {
 	next := time.Now()
 	for number := uint32(1); ; number++ {
@@ -49,11 +49,11 @@
 	s.packets.WriteToUDPAddrPort(sealGossip(message), t.Address)
 }
 
-// drainedAck is the mean size in bytes of answers to probes of members that have nothing more to pass on, at the most.
+// drainedAck is the mean size in bytes up to which answers to probes show that members have nothing more to pass on.
 const drainedAck = 250
 
-// Drain has the targets pass on, in answers to many probes, what their joining left in their queues; it tells whether that was
-// done within a time. It only shortens what the program does by itself at three packets a round.
+// Drain empties the queues that joining has filled at the targets, through answers to many probes, and reports whether this was
+// done in time. It only shortens what the program does by itself at three packets a round.
 func (c *Crowd) Drain(within time.Duration) bool {
 	c.mu.Lock()
 	c.fast = true
--- a/rig/hollow/crowd_restart.go
+++ b/rig/hollow/crowd_restart.go
@@ -6,8 +6,8 @@
 	"valveglade/logic/view"
 )
 
-// Restart plays the restart of one member, as the program tells it, and the words that its new process passes on of all that it
-// has learnt: so many of them reach each target as of any message.
+// Restart simulates the restart of one member: the messages that the program sends, and those that its new process passes on about
+// the members it has learnt of, as many of them to each target as of any message.
 func (c *Crowd) Restart(k int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -18,21 +18,21 @@
 	}
 	m.incarnation++
 	m.entry.State = view.Leaving
-	c.spread(now, c.alive(k), times)
+	c.spread(now, c.aliveMessageOf(k), times)
 	old := nodeName(m.entry)
 	c.spread(now.Add(seconds(goneAfter)), encodeMessage(msgDead, claimMessage{m.incarnation, old, old}), times)
-	c.reborn(k)
+	c.newIncarnation(k)
 	m.entry.State = view.Cold
-	c.spread(now.Add(seconds(backAfter)), c.alive(k), times)
+	c.spread(now.Add(seconds(backAfter)), c.aliveMessageOf(k), times)
 	m.incarnation, m.entry.State = 2, view.Serving
-	c.spread(now.Add(seconds(servingAfter)), c.alive(k), times)
+	c.spread(now.Add(seconds(servingAfter)), c.aliveMessageOf(k), times)
 	for range times {
-		c.spread(now.Add(time.Duration(c.random.Float64()*float64(spreadOver))), c.alive(c.random.IntN(len(c.members))), 1)
+		c.spread(now.Add(time.Duration(c.random.Float64()*float64(spreadOver))), c.aliveMessageOf(c.random.IntN(len(c.members))), 1)
 	}
 }
 
-// reborn gives a member another incarnation, under the lock.
-func (c *Crowd) reborn(k int) {
+// newIncarnation gives a member another incarnation. The lock is held.
+func (c *Crowd) newIncarnation(k int) {
 	m := &c.members[k]
 	m.entry.Incarnation.Number++
 	m.entry.Incarnation.Nonce += 1 << 16
@@ -42,7 +42,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-// Lose has some members die at one time: they answer no more, two others accuse each, and it is dead once that has stood.
+// Lose has some members die at one time: they answer no more, two others suspect each, and it is declared dead after the timeout.
 func (c *Crowd) Lose(first, count int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -61,12 +61,12 @@
 	}
 }
 
-// Return has members that were lost come back with new processes, serving at once.
+// Return has lost members come back with new processes that serve at once.
 func (c *Crowd) Return(first, count int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for k := first; k < first+count; k++ {
-		c.reborn(k)
-		c.spread(time.Now().Add(time.Duration(c.random.Float64()*float64(time.Second))), c.alive(k), retransmits(c.size))
+		c.newIncarnation(k)
+		c.spread(time.Now().Add(time.Duration(c.random.Float64()*float64(time.Second))), c.aliveMessageOf(k), retransmits(c.size))
 	}
 }
--- a/rig/hollow/crowd_stream.go
+++ b/rig/hollow/crowd_stream.go
@@ -30,7 +30,7 @@
 // streamLimit is how long one stream may last.
 const streamLimit = 3 * time.Second
 
-// answerStream takes an exchange, or a probe over a stream.
+// answerStream answers an exchange, or a probe over a stream.
 func (c *Crowd) answerStream(nc net.Conn) {
 	in := bufio.NewReader(nc)
 	head := make([]byte, len(gossipMagic)+1)
@@ -44,30 +44,30 @@
 	switch kind {
 	case msgPing:
 		var ping pingMessage
-		if codec.NewDecoder(in, &codec.MsgpackHandle{}).Decode(&ping) == nil && c.up(ping.Node) {
+		if codec.NewDecoder(in, &codec.MsgpackHandle{}).Decode(&ping) == nil && c.isUp(ping.Node) {
 			nc.Write(encodeMessage(msgAck, ackMessage{SeqNo: ping.SeqNo}))
 		}
 	case msgExchange:
-		if _, err := c.readExchange(&counted{in, &c.streamBytes}); err == nil {
+		if _, err := c.readExchange(&countingReader{in, &c.streamBytes}); err == nil {
 			n, _ := nc.Write(c.exchange(false))
 			c.streamBytes.Add(int64(n))
 		}
 	}
 }
 
-// counted counts what is read.
-type counted struct {
+// countingReader adds what is read to a counter.
+type countingReader struct {
 	io.Reader
 	bytes *atomic.Int64
 }
 
-func (r *counted) Read(b []byte) (int, error) {
+func (r *countingReader) Read(b []byte) (int, error) {
 	n, err := r.Reader.Read(b)
 	r.bytes.Add(int64(n))
 	return n, err
 }
 
-// readExchange gives the names in an exchange, and learns of real members.
+// readExchange returns the names in an exchange, and learns of real members.
 func (c *Crowd) readExchange(in io.Reader) (nodes []string, err error) {
 	decoder := codec.NewDecoder(in, &codec.MsgpackHandle{})
 	var head exchangeHead
@@ -87,7 +87,7 @@
 	return nodes, nil
 }
 
-// exchange is all that the crowd knows.
+// exchange returns the message with all that the crowd knows.
 func (c *Crowd) exchange(join bool) []byte {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -108,8 +108,8 @@
 	return out
 }
 
-// Exchange exchanges all that is known with a target, as a member does now and then; it gives the bytes of both ways. It
-// learns how the library knows the target, if that is not known yet.
+// Exchange exchanges the whole state with a target, as a member does at intervals, and returns the bytes of both directions. It
+// learns the target's name in the library, if that is not known yet.
 func (c *Crowd) Exchange(t *Target, join bool) (int64, error) {
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: c.sockets[0].address.Addr().AsSlice()}, Timeout: time.Second}
 	nc, err := dialer.Dial("tcp", t.Address.String())
@@ -123,7 +123,7 @@
 		return int64(sent), err
 	}
 	var got atomic.Int64
-	in := bufio.NewReader(&counted{nc, &got})
+	in := bufio.NewReader(&countingReader{nc, &got})
 	kind := make([]byte, 1)
 	if _, err := io.ReadFull(in, kind); err != nil {
 		return int64(sent), fmt.Errorf("no answer to an exchange: %w", err)
--- a/rig/hollow/quota.go
+++ b/rig/hollow/quota.go
@@ -159,9 +159,9 @@
 	for k := range r.plan.Holders {
 		others = append(others, memberName(k))
 	}
-	var terms []share.Config
+	var configs []share.Config
 	for kind := range r.plan.Kinds {
-		terms = append(terms, share.Config{Name: kindName(kind), Limit: quotaLimit * r.plan.Holders, Methods: []int{kind}, Lease: quotaGrants()})
+		configs = append(configs, share.Config{Name: kindName(kind), Limit: quotaLimit * r.plan.Holders, Methods: []int{kind}, Lease: quotaGrants()})
 	}
 	for k, name := range list {
 		p := &port{name: name, network: r.network}
@@ -171,7 +171,7 @@
 			return err
 		}
 		if k == 0 {
-			if _, err := f.AddQuota(terms, r.plan.Kinds); err != nil {
+			if _, err := f.AddQuota(configs, r.plan.Kinds); err != nil {
 				return err
 			}
 		}
--- a/rig/hollow/view.go
+++ b/rig/hollow/view.go
@@ -110,10 +110,10 @@
 
 // boundless is the usual settings with room for so many names.
 func boundless(members int) view.Config {
-	terms := view.Defaults()
-	terms.MaxNames = max(terms.MaxNames, 2*members)
-	terms.MaxRemembered = max(terms.MaxRemembered, members)
-	return terms
+	config := view.Defaults()
+	config.MaxNames = max(config.MaxNames, 2*members)
+	config.MaxRemembered = max(config.MaxRemembered, members)
+	return config
 }
 
 // start makes the observers, the first members of the fleet, and tells them of all others.
