--- a/logic/calls.go
+++ b/logic/calls.go
@@ -7,9 +7,9 @@
 	"valveglade/rpc"
 )
 
-// Calls to what several app servers share.
+// Calls to dependencies that several app servers share.
 
-// NeedsCall takes note that a running RPC waits to place a call.
+// NeedsCall records that a running RPC waits to make a call.
 func (m *Module) NeedsCall(now float64, i int) {
 	m.now = now
 	switch w := &m.rpcs[i]; w.state {
@@ -24,13 +24,13 @@
 }
 
 // place starts calls, longest waiting first, within this app server's share of what the dependency survives,
-// abandoned calls included. What the share is past a whole number is kept as a mean over every span: one call
-// more at times, with a patience that the span can bear should it stay silent.
+// abandoned calls included. Its fraction holds as a mean over every span: one call more at times,
+// with a timeout that the span can bear should it not be answered.
 func (m *Module) place() {
 	m.lingers = slices.DeleteFunc(m.lingers, func(end float64) bool { return end <= m.now })
 	whole, part := math.Modf(m.Machine.CallsOut)
-	// What cannot have its call in time goes without, and so does what holds up others by waiting, while the
-	// layer below is slow or for a share of it.
+	// An RPC that cannot have its call in time goes without, and so does one that delays others by waiting,
+	// while the layer below is slow or for a share of it.
 	crowded := m.delay() > m.dt && (m.slow() && m.off() >= m.waits() || part > 0 && len(m.waiting) > 1)
 	for _, i := range slices.Clone(m.waiting) {
 		w := &m.rpcs[i]
@@ -64,9 +64,9 @@
 	}
 }
 
-// off is how many RPCs are at a call or wait for one; waits is how many may: one a core while the layer below
-// is slow, so that a silent one leaves the other methods memory and cores, three while it is well, as calls
-// may take as long as the work beside them.
+// off is the number of RPCs at a call or waiting for one; waits bounds it: one a core while the layer below
+// is slow, so that a silent one leaves the other methods memory and cores; three otherwise, as calls may take
+// as long as the rest of the work.
 func (m *Module) off() int { return m.count[paused] + m.count[calling] + m.count[closing] }
 func (m *Module) waits() int {
 	if m.slow() || len(m.waiting) > 0 {
@@ -75,15 +75,15 @@
 	return 3 * m.Machine.Cores
 }
 
-// slow tells whether calls take three times the best median, by those that have ended or one that is out;
-// until some have ended it is not known to be better.
+// slow reports whether calls take three times the best median, by those that have ended or one in flight; it
+// is true until some have ended.
 func (m *Module) slow() bool {
 	long := m.now - 3*m.callBest
 	return math.IsInf(m.callBest, 1) || m.callTook.median() > 3*m.callBest ||
 		slices.ContainsFunc(m.rpcs, func(w work) bool { return w.state == calling && w.dialed < long })
 }
 
-// skips is the part of its worth that a method's answer keeps without a call.
+// skips is the share of its value that a method's answer keeps without a call.
 func (m *Module) skips(w *work) float64 {
 	if w.method < len(m.Machine.SkipWorth) {
 		return m.Machine.SkipWorth[w.method]
@@ -91,7 +91,7 @@
 	return 0
 }
 
-// goWithout has an RPC go on without its call where its answer is still worth something, or gives it up.
+// goWithout continues an RPC without its call where its answer still has a value, or gives it up.
 func (m *Module) goWithout(i int) {
 	w := &m.rpcs[i]
 	if m.skips(w) == 0 || m.now > w.due-margin || m.now > m.goodUntil(w) && m.Methods[w.method].LateShare == 0 {
@@ -102,8 +102,8 @@
 	m.move(i, running)
 }
 
-// beyond is for how long of the last span a call past the whole share was out, +Inf while one is. Gaps that
-// keep a mean leave more to spans that begin with a call, and a slow dependency has the whole fleet do so.
+// beyond is the time in the last span with a call past the whole share open, +Inf while one is. Gaps that
+// hold a mean leave more to spans that begin with a call; with a slow dependency the whole fleet does that.
 func (m *Module) beyond() (sum float64) {
 	begin := m.now - m.Machine.CallsSpan
 	m.extras = slices.DeleteFunc(m.extras, func(e [2]float64) bool { return e[1] <= begin })
@@ -116,16 +116,16 @@
 	return sum
 }
 
-// called follows the layer below: calls that take three times the best median, or are abandoned, cut the
-// calls at a time, others let them grow. The share is what it survives, not where it works well: crowded, it
-// slows down and everybody waits. A twentieth and a tenth give about three calls at a time while one in
+// called adapts to the layer below: calls that take three times the best median, or are abandoned, cut the
+// calls at a time, others let them grow. The share is what it survives, not where it works well: overloaded,
+// it slows down and all callers wait. A twentieth and a tenth give about three calls at a time while one in
 // twenty is that long; harder cuts starved the methods that call.
 func (m *Module) called(w *work, how rpc.Outcome) {
 	took, abandoned := m.now-w.dialed, how == rpc.TimedOut
-	if abandoned { // it stays in the dependency's hands for a while
+	if abandoned { // it stays open at the dependency for a while
 		took += m.Machine.Linger
 		m.lingers = append(m.lingers, m.now+m.Machine.Linger)
-	} else if how == rpc.OK { // one that fails at once tells nothing of how quick it is down there
+	} else if how == rpc.OK { // a call that fails at once does not show the dependency's speed
 		m.callTook.add(took)
 	}
 	if median := m.callTook.median(); median > 0 {
@@ -148,8 +148,8 @@
 	}
 }
 
-// Called takes note of how a call ended. Quick repeats do not outlast most troubles, so three tries are all;
-// a call that may have taken effect is repeated only for an idempotent RPC.
+// Called records how a call ended. Quick retries do not outlast most faults, so three tries are the most;
+// a call that may have taken effect is retried only for an idempotent RPC.
 func (m *Module) Called(now float64, i int, how rpc.Outcome) {
 	m.now = now
 	if w := &m.rpcs[i]; w.state == calling {
--- a/logic/measure.go
+++ b/logic/measure.go
@@ -2,9 +2,9 @@
 
 import "math"
 
-// What is measured, and how it is forgotten.
+// Measurements, and how they decay.
 
-// What is measured counts half after a span, so that a trouble is soon learnt and forgotten.
+// span is the half-life of measurements in seconds: faults are soon noticed, and soon forgotten.
 const span = 2.0
 
 func (m *Module) halve() {
@@ -13,7 +13,7 @@
 		m.tenants[k] *= tenantsKept
 	}
 	m.callTook.halve()
-	m.callBest *= 1.02 // forgotten over minutes
+	m.callBest *= 1.02 // it decays over minutes
 	m.arrived, m.refused, m.further, m.ran = m.arrived/2, m.refused/2, m.further/2, m.ran/2
 	for k := range m.records {
 		r := &m.records[k]
@@ -22,11 +22,11 @@
 	}
 }
 
-// tenantsKept is left of tenants' counts after a span: one with an RPC a second is known by a dozen.
+// tenantsKept is the factor on tenants' counts in each span: one with an RPC a second has a count of a dozen.
 const tenantsKept = 0.85
 
-// worth is what an RPC of a tenant is worth in the mean, 1 within its share, as far as that is this server's.
-// Further tries count too: they swell all tenants alike.
+// worth is the mean value of an RPC of a tenant: 1 within its share of the quota at this app server. Retries
+// count too: they inflate all tenants alike.
 func (m *Module) worth(tenant int) float64 {
 	if tenant >= len(m.tenants) {
 		return 1
@@ -55,7 +55,7 @@
 	h.sum /= 2
 }
 
-// median is 0 while too little is known, so that no lasting judgement hangs on old figures.
+// median is 0 while there are too few samples, so that no decision depends on old figures.
 func (h *hist) median() float64 {
 	sum := 0.0
 	for k, n := range h.bins {
--- a/logic/queue.go
+++ b/logic/queue.go
@@ -2,14 +2,14 @@
 
 import "valveglade/rpc"
 
-// What is queued, what is refused of it, and what is given up.
+// Refusal of queued RPCs, and the end of RPCs that would be late.
 
 // shed refuses one RPC while the delay passes the threshold, and as many as it takes while memory runs short.
-// Which one goes by criticality over the share of its method that has lately been ok, so that no method
-// starves; among equals it is the one that has just come.
+// The choice is by criticality over the share of its method that was recently ok, so that no method
+// starves; among equals it is the one that arrived last.
 //
-// What waits for a limit common to several app servers is a queue of its own, with the same threshold: it
-// says nothing of the cores, and is no reason to refuse what does not need that limit.
+// RPCs that wait for a limit common to several app servers form a queue of their own, with the same
+// threshold: it tells nothing about the cores, and is no reason to refuse RPCs without that limit.
 func (m *Module) shed(i int) {
 	line := 0
 	if m.rpcs[i].state == queued && m.lacks(i) {
@@ -36,10 +36,10 @@
 	return worth / max((r.ok+1)/(r.asked+1), 0.1)
 }
 
-// swamped tells whether so many are turned away that another app server would most likely do the same. Then
-// callers are asked not to go on through their lists: reading what comes straight back takes the cores. Three
-// in ten: one in ten costs slow days, five in ten overload days. Where further tries are marked, as many of
-// them must come too, as one that is weak alone should let callers go on; elsewhere it could harm that one.
+// swamped reports whether so many are refused that another app server would most likely refuse too. Then
+// callers are asked not to try the next one: reading RPCs that are refused at once takes the cores. Three in
+// ten: one in ten costs slow days, five in ten overload days. Where retries are marked, as many of them must
+// arrive too: if this app server alone is weak, callers should go on to others; unmarked, that could harm it.
 func (m *Module) swamped() bool {
 	return m.refused > 0.3*(m.arrived+4) && (!m.Clients.MarksRetry || m.further > 0.3*m.arrived)
 }
@@ -57,13 +57,13 @@
 	return -1
 }
 
-// goodUntil is when an answer stops being worth its full criticality.
+// goodUntil is the time until which an answer has its full value.
 func (m *Module) goodUntil(w *work) float64 {
 	return min(max(w.asked+m.Methods[w.method].Target, w.wanted), w.due-margin)
 }
 
-// hopeless tells whether a queued RPC would come too late even if it were started now. While half the cores
-// are free of RPCs it is tried all the same, so that run times stay fresh and recovery is seen.
+// hopeless reports whether a queued RPC would be late even if it were started now. While half the cores are
+// idle it is started all the same, so that run times stay current and recovery is noticed.
 func (m *Module) hopeless(w *work) bool {
 	until := m.goodUntil(w)
 	if r := &m.records[w.method]; r.givenUp >= 4 {
@@ -74,10 +74,10 @@
 }
 
 // runMargin: about two runs in three end within one and a half times the median. The median alone, or twice
-// it, serves overload days worse on two deployments of three.
+// the median, is worse on overload days on two deployments of three.
 const runMargin = 1.5
 
-// giveUp answers an RPC that can no longer be of use, at once, and takes its work off the cores if it can.
+// giveUp answers an RPC that is of no more use, at once, and stops its work if it can.
 func (m *Module) giveUp(i int) {
 	w := &m.rpcs[i]
 	switch {
@@ -93,7 +93,7 @@
 	m.unwind(i)
 }
 
-// refuse pushes back a queued RPC, which has not been started.
+// refuse pushes back a queued RPC. It has not been started.
 func (m *Module) refuse(i int, last bool) {
 	m.refused++
 	if !last {
@@ -104,7 +104,7 @@
 	m.move(i, absent)
 }
 
-// unwind lets go of an RPC that nobody awaits any more.
+// unwind releases an RPC that nobody waits for any more.
 func (m *Module) unwind(i int) {
 	w := &m.rpcs[i]
 	switch w.state {
@@ -112,7 +112,7 @@
 		m.forget(i)
 		m.move(i, absent)
 	case running:
-		// It took at least so long: else only the quick would be measured, and a slow spell not be seen.
+		// It took at least this long; else only quick runs would be measured, and slowness be missed.
 		m.records[w.method].late.add(m.now - w.began)
 		m.move(i, orphaned)
 		// A tokened RPC runs on: its repeat may ask for the outcome, and could not be run again.
@@ -127,7 +127,7 @@
 	}
 }
 
-// advice is when to come back: when the delay should be back at its target.
+// advice is the time in seconds after which the delay should be back at its target.
 func (m *Module) advice(short int) float64 {
 	switch {
 	case !m.Ceilings.RetryAfter:
@@ -138,8 +138,8 @@
 	return min(max(m.oldest(short)-m.dt, 0), m.Ceilings.MaxRetryAfter)
 }
 
-// sweep answers what has run out of time. Work that has lost its worth is taken off the cores where it can be
-// and other work waits for them.
+// sweep answers RPCs that are out of time. Work that has lost its value is stopped where it can be and other
+// work waits for the cores.
 func (m *Module) sweep() {
 	for i := range m.rpcs {
 		w := &m.rpcs[i]
--- a/logic/running.go
+++ b/logic/running.go
@@ -1,10 +1,10 @@
 package logic
 
-// How many run at a time, and which is next.
+// The number of RPCs that run at a time, and their order.
 
 func (m *Module) cores() float64 { return float64(m.Machine.Cores) }
 
-// warmth is the share of its speed that an app server has at the least while it comes up, 1 once warm.
+// warmth is the least share of its full speed that an app server has while it warms up, 1 once warm.
 func (m *Module) warmth() float64 {
 	if !m.Machine.Cold || m.Rules.WarmIn <= 0 {
 		return 1
@@ -12,13 +12,13 @@
 	return min(1, m.Rules.ColdAt+(1-m.Rules.ColdAt)*max(m.now-m.started, 0)/m.Rules.WarmIn)
 }
 
-// survivable is how many started RPCs the cores can have at once without harm, fewer while cold. A tenth is
-// left for work that comes back from its calls.
+// survivable is the number of started RPCs that the cores bear at once, fewer while cold. A tenth is left for
+// RPCs that return from their calls.
 func (m *Module) survivable() float64 {
 	return max(1, 0.9*m.cores()*(1+(m.Rules.Crowd-1)*m.warmth()))
 }
 
-// pump starts queued RPCs while the limits leave room: oldest first, newest first once the queue has stood
+// pump starts queued RPCs while the limits leave room: oldest first, newest first once the queue has been
 // full for a while.
 func (m *Module) pump() {
 	for k := 0; k < len(m.queue); {
@@ -49,15 +49,15 @@
 	}
 }
 
-// lacks tells whether a queued RPC waits for a limit that is common to several app servers, whatever the
-// cores say. Others are started past it.
+// lacks reports whether a queued RPC waits for a limit common to several app servers, whatever the cores
+// allow. Others are started before it.
 func (m *Module) lacks(i int) bool {
 	m.rpcs[i].short = m.do.Short(m.rpcs[i].method)
 	return m.rpcs[i].short > 0
 }
 
-// adjust follows the cores: the limit grows fast while some idle and work waits, and falls back to one RPC a
-// core, as more would only slow each other.
+// adjust adapts the limit to the cores: it grows fast while some are idle and RPCs wait, and decays to one
+// RPC a core, as more only slow each other down.
 func (m *Module) adjust(gauges []float64) {
 	on := float64(m.count[running] + m.count[orphaned])
 	if m.gauge >= 0 && m.gauge < len(gauges) {
--- a/logic/states.go
+++ b/logic/states.go
@@ -2,49 +2,49 @@
 
 import "slices"
 
-// The states of an RPC, and what is kept of it, of callers and of methods.
+// The states of an RPC, and the records of RPCs, callers and methods.
 
-// state is where an RPC stands; only move changes it.
+// state is the state of an RPC; only move changes it.
 type state uint8
 
 const (
-	absent    state = iota // not in hand
+	absent    state = iota // the index is free
 	queued                 // read, not started
 	following              // waits for the outcome of the RPC that it repeats
-	running                // started, an answer is owed
-	paused                 // started, off the cores until it may place its call
+	running                // started and not answered
+	paused                 // started, off the cores until it may make its call
 	calling                // started, off the cores until its call ends
-	orphaned               // no answer is owed any more, its work is still on the cores
-	closing                // no answer is owed any more, its call is being wound up
+	orphaned               // needs no answer any more, its work is still on the cores
+	closing                // needs no answer any more, its call is being ended
 	states
 )
 
 func (s state) owed() bool { return s >= queued && s <= calling }
 
-// work is one RPC in hand.
+// work is one open RPC.
 type work struct {
 	state                 state
-	method, caller, tries int // tries of the call in need
+	method, caller, tries int // tries of its call
 	tenant                int
 	short                 int     // the limit common to the fleet that it waits for, 0 for none
-	arrival, asked        float64 // here, and its first try, as far as can be told
+	arrival, asked        float64 // here, and of its first try, as far as is known
 	due, kb               float64
-	began, dialed         float64 // when it was started, and its call placed
-	extra, told           bool    // its call is past the whole part of the share; its caller told its due
+	began, dialed         float64 // when it was started, and its call made
+	extra, told           bool    // its call exceeds the whole part of the share; its caller sent its deadline
 	reads                 bool    // others may share its answer
-	leads                 int     // RPCs that came to share it
-	wanted                float64 // until when the last of them wants it
+	leads                 int     // RPCs that share its answer
+	wanted                float64 // the latest goodUntil among them
 	key                   float64 // until when its token is remembered, 0 if it is not
 }
 
-// caller is when one caller last sent something and last had all its answers, and its unanswered RPCs here.
+// caller records when one caller last sent something and last had all answers, and its unanswered RPCs.
 type caller struct {
 	heard, idle float64
 	out         int
 }
 
-// record is what has been seen of a method of late: run times, arrivals, ok in time, and the age at which its
-// RPCs have been given up on, how many times running.
+// record is the recent history of a method: run times, arrivals, RPCs ok in time, and the age at which its
+// callers gave up, with how many did so in a row.
 type record struct {
 	late      hist
 	asked, ok float64
@@ -52,7 +52,7 @@
 	givenUp   int
 }
 
-// move makes every change of state and keeps the counts and lists that hang on it.
+// move makes every change of state and maintains the counts and lists that depend on it.
 func (m *Module) move(i int, to state) {
 	w := &m.rpcs[i]
 	from := w.state
@@ -89,7 +89,7 @@
 	}
 }
 
-// weight is how many times its queued size an RPC takes.
+// weight is the memory of an RPC in a state, as a multiple of its size while queued.
 func (m *Module) weight(s state) float64 {
 	started := m.Machine.RunFactor
 	return [states]float64{queued: 1, following: 1, running: started, paused: started, calling: started,
--- a/logic/tokens.go
+++ b/logic/tokens.go
@@ -6,12 +6,12 @@
 	"valveglade/rpc"
 )
 
-// Tokens, and the memory that they and RPCs take.
+// Tokens, and the memory of tokens and RPCs.
 
-// takeOver puts a further try in the place of a queued one: the caller has most likely given up on that.
+// takeOver replaces a queued RPC by a retry of it: the caller has most likely given up on the first.
 func (m *Module) takeOver(i, earlier int) {
 	e, w := &m.rpcs[earlier], &m.rpcs[i]
-	m.dropKey(e) // its entry goes over to the further try
+	m.dropKey(e) // its entry passes to the retry
 	m.remember(i)
 	m.do.PushBack(earlier, true, m.advice(0))
 	arrival, asked := e.arrival, e.asked
@@ -19,8 +19,8 @@
 	w.arrival, w.asked = min(w.arrival, arrival), min(w.asked, asked)
 }
 
-// remember keeps the token of a queued RPC, so that two queued tries are known for one, until its window has
-// passed.
+// remember keeps the token of a queued RPC until its window has passed, so that two queued tries are
+// recognised as one.
 func (m *Module) remember(i int) {
 	w := &m.rpcs[i]
 	method := &m.Methods[w.method]
@@ -51,8 +51,8 @@
 	}
 }
 
-// memory is what queued and started RPCs and remembered tokens need. room leaves a twentieth for what is
-// rounded on the way here.
+// memory is what queued and started RPCs and remembered tokens need. room leaves a twentieth for rounding of
+// the settings.
 func (m *Module) memory() float64 { return m.kb + m.keyKB() }
 func (m *Module) keyKB() float64  { return float64(len(m.keys)) * m.Machine.EntryKB }
 func (m *Module) room() float64   { return 0.95 * m.Machine.MemoryKB }
