--- a/cmd/rehearse/scale_fleet.go
+++ b/cmd/rehearse/scale_fleet.go
@@ -114,7 +114,7 @@
 	ready.Add(1)
 	r.members, err = hollow.StartMembers(exec.Command(r.p.self(), "hollow", "members"), plan, func(s hollow.Seen) {
 		ready.Wait()
-		r.crowd.Sees(r.targets[s.Member], s.Version, s.Digest)
+		r.crowd.SetView(r.targets[s.Member], s.Version, s.Digest)
 	})
 	if err != nil {
 		ready.Done()
