--- a/gate/settings_test.go
+++ b/gate/settings_test.go
@@ -80,7 +80,7 @@
 	token := ""
 	if p.settings.Methods[method].Kind == rpc.Tokened {
 		token = fmt.Sprintf("%d of %d", p.r.IntN(4), method)
-		recv = p.now // read in the order in which they came; what lies unread past a window is Example_window's
+		recv = min(max(recv, p.now-unread+1), p.now) // none lies unread for as long as tokens are kept for that
 	}
 	a := &played{name: fmt.Sprintf("%016x", len(p.rpcs)), method: method, token: token, recv: recv}
 	due, arrival := 0.0, min(recv, p.now)
@@ -197,7 +197,7 @@
 
 // Under whatever settings the configuration lets through, nothing is divided by zero, overflows or hangs, and the rules hold.
 func TestDrawnSettings(t *testing.T) {
-	const trials, steps = 400, 120
+	const trials, steps = 1000, 120
 	for seed := range uint64(trials) {
 		r := rand.New(rand.NewPCG(seed, 42))
 		settings := drawSettings(r)
@@ -213,3 +213,45 @@
 		}
 	}
 }
+
+// A token is used anew past its window, and a try that came within the window is read only then: it gets what the run of its window
+// gave, and neither takes the place of the later one nor runs, also once the later one has been refused.
+func Example_replaced() {
+	for _, refused := range []bool{false, true} {
+		s := openTold(1, 1000, func(c *rpc.Settings) { c.Methods[write].Window = 1 })
+		s.arrive("a1", write, "t")
+		s.report("a1", rpc.OK, "done")
+		s.arrive("busy", read, "")
+		s.pass(1.2)
+		s.arrive("b1", write, "t")
+		if refused {
+			s.gone("b1")
+		}
+		s.came("a2", write, s.now-0.5, "t", "body")
+		s.report("busy", rpc.OK, "")
+		if !refused {
+			s.report("b1", rpc.OK, "anew")
+		}
+		s.arrive("b2", write, "t")
+		s.pass(unread + 3)
+		fmt.Println(len(s.tokens.entries), len(s.tokens.expiry), s.tokens.bytes)
+	}
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 busy: run
+	//  1.20 a2: ok "done"
+	//  1.20 busy: ok ""
+	//  1.20 b1: run
+	//  1.20 b1: ok "anew"
+	//  1.20 b2: ok "anew"
+	// 0 0 0
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 busy: run
+	//  1.20 a2: ok "done"
+	//  1.20 busy: ok ""
+	//  1.20 b2: run
+	//  5.10 b2: aborted
+	// 1 0 0
+}
