--- a/config/config.go
+++ b/config/config.go
@@ -71,13 +71,7 @@
 	c := &Config{Name: name}
 	top.Text("name", &c.Name)
 	c.readLimits(top)
-	settings := top.Object("settings")
-	c.Rules = rpc.ReadServed(settings)
-	for _, profile := range settings.Objects("profiles") {
-		method := ""
-		profile.Text("name", &method)
-		c.Methods = append(c.Methods, method)
-	}
+	c.Rules, c.Methods = rpc.ReadServed(top.Object("settings"))
 	top.Text("listen", &listen)
 	c.Listen = readAddrPort(top, "listen", listen)
 	c.Kernel = readAddrPort(top, "kernel", "")
--- a/internal/jsonobject/jsonobject.go
+++ b/internal/jsonobject/jsonobject.go
@@ -5,7 +5,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"strconv"
 )
@@ -26,22 +28,29 @@
 
 // Object is a JSON object and its place in the whole.
 type Object struct {
-	path   string // ends in a dot, but for the outermost
+	place
 	fields members
 	failed *error // the first one, of the outermost and all within
 }
 
+// place is where an object stands: under a key of another, by its index if it is of an array there.
+type place struct {
+	in    *Object // nil for the outermost
+	key   string
+	index int // notInArray if it is not
+}
+
+const notInArray = -1
+
 // Parse reads text that holds one JSON object and nothing else.
 func Parse(text []byte) (*Object, error) {
-	var whole json.RawMessage
-	if err := json.Unmarshal(text, &whole); err != nil {
-		return nil, fmt.Errorf("not a JSON object: %w", err)
-	}
-	if there := kind(bytes.TrimSpace(whole)); there != object {
-		return nil, fmt.Errorf("not a JSON object: it is of type %s", there)
-	}
 	var fields members
-	if err := json.Unmarshal(whole, &fields); err != nil {
+	err := json.Unmarshal(text, &fields)
+	otherType := (*json.UnmarshalTypeError)(nil)
+	if errors.As(err, &otherType) || err == nil && fields == nil {
+		return nil, fmt.Errorf("not a JSON object: it is of type %s", kind(bytes.TrimSpace(text)))
+	}
+	if err != nil {
 		return nil, fmt.Errorf("not a JSON object: %w", err)
 	}
 	return &Object{fields: fields, failed: new(error)}, nil
@@ -54,84 +63,106 @@
 func (o *Object) Has(key string) bool { return kind(o.fields[key]) != null }
 
 // Path returns where a key of the object stands in the whole.
-func (o *Object) Path(key string) string { return o.path + key }
+func (o *Object) Path(key string) string {
+	if o.in == nil {
+		return key
+	}
+	path := o.in.Path(o.key)
+	if o.index != notInArray {
+		path += "[" + strconv.Itoa(o.index) + "]"
+	}
+	return path + "." + key
+}
 
 // Object returns the object under a key; an empty one if there is none.
 func (o *Object) Object(key string) *Object {
-	fields, _ := value[members](o, key, object)
-	return o.within(key, fields)
+	return o.object(key, notInArray, o.fields[key])
 }
 
 // ObjectIfAny is Object where another shape counts as an empty object.
 func (o *Object) ObjectIfAny(key string) *Object {
 	if kind(o.fields[key]) != object {
-		return o.within(key, nil)
+		return o.object(key, notInArray, nil)
 	}
 	return o.Object(key)
 }
 
-func (o *Object) within(key string, fields members) *Object {
-	return &Object{path: o.Path(key) + ".", fields: fields, failed: o.failed}
+// Objects goes through the objects of the array under a key, one decoded at a time; an element that is null counts as an empty
+// object.
+func (o *Object) Objects(key string) iter.Seq[*Object] {
+	return func(yield func(*Object) bool) {
+		for k, raw := range o.elements(key) {
+			if !yield(o.object(key, k, raw)) {
+				return
+			}
+		}
+	}
 }
 
-// Objects returns the objects of the array under a key; an element that is null counts as an empty object.
-func (o *Object) Objects(key string) []*Object {
-	var all []*Object
-	o.elements(key, func(list *Object, at string) { all = append(all, list.Object(at)) })
-	return all
+// object returns the object that stands under a key, or at an index of the array there.
+func (o *Object) object(key string, index int, raw json.RawMessage) *Object {
+	in := &Object{place: place{o, key, index}, failed: o.failed}
+	if o.has(key, index, raw, object) {
+		json.Unmarshal(raw, &in.fields)
+	}
+	return in
 }
 
 // Text reads a string.
-func (o *Object) Text(key string, into *string) {
-	if v, ok := value[string](o, key, text); ok {
-		*into = v
-	}
-}
+func (o *Object) Text(key string, into *string) { o.text(key, notInArray, o.fields[key], into) }
 
 // Texts reads an array of strings.
 func (o *Object) Texts(key string) (all []string) {
-	o.elements(key, func(list *Object, at string) {
+	for k, raw := range o.elements(key) {
 		all = append(all, "")
-		list.Text(at, &all[len(all)-1])
-	})
+		o.text(key, k, raw, &all[k])
+	}
 	return all
 }
 
-// Flag reads true or false.
-func (o *Object) Flag(key string, into *bool) {
-	if v, ok := value[bool](o, key, flag); ok {
-		*into = v
+func (o *Object) text(key string, index int, raw json.RawMessage, into *string) {
+	if o.has(key, index, raw, text) {
+		json.Unmarshal(raw, into)
 	}
 }
 
+// Flag reads true or false.
+func (o *Object) Flag(key string, into *bool) { o.flag(key, notInArray, o.fields[key], into) }
+
 // Flags reads an array of true and false.
 func (o *Object) Flags(key string) (all []bool) {
-	o.elements(key, func(list *Object, at string) {
+	for k, raw := range o.elements(key) {
 		all = append(all, false)
-		list.Flag(at, &all[len(all)-1])
-	})
+		o.flag(key, k, raw, &all[k])
+	}
 	return all
 }
 
-// Number reads a number, at most Largest on either side of 0.
-func (o *Object) Number(key string, into *float64) {
-	v, ok := value[json.Number](o, key, number)
-	if !ok {
-		return
+func (o *Object) flag(key string, index int, raw json.RawMessage, into *bool) {
+	if o.has(key, index, raw, flag) {
+		*into = raw[0] == 't'
 	}
-	parsed, _ := strconv.ParseFloat(v.String(), 64) // what is too large gives an infinity
-	*into = min(max(parsed, -Largest), Largest)
 }
 
+// Number reads a number, at most Largest on either side of 0.
+func (o *Object) Number(key string, into *float64) { o.number(key, notInArray, o.fields[key], into) }
+
 // Numbers reads an array of numbers.
 func (o *Object) Numbers(key string) (all []float64) {
-	o.elements(key, func(list *Object, at string) {
+	for k, raw := range o.elements(key) {
 		all = append(all, 0)
-		list.Number(at, &all[len(all)-1])
-	})
+		o.number(key, k, raw, &all[k])
+	}
 	return all
 }
 
+func (o *Object) number(key string, index int, raw json.RawMessage, into *float64) {
+	if o.has(key, index, raw, number) {
+		parsed, _ := strconv.ParseFloat(string(raw), 64) // what is too large gives an infinity
+		*into = min(max(parsed, -Largest), Largest)
+	}
+}
+
 // Whole reads a whole number in whatever form, such as 6, 6.0 or 6e0, at most math.MaxInt32 on either side of 0.
 func (o *Object) Whole(key string, into *int) {
 	read := float64(*into)
@@ -144,36 +175,37 @@
 }
 
 // Fail notes that a key's value cannot be used; the first such note stays.
-func (o *Object) Fail(key, why string, args ...any) {
-	if *o.failed == nil {
-		*o.failed = &Error{o.Path(key), fmt.Sprintf(why, args...)}
+func (o *Object) Fail(key, why string, args ...any) { o.fail(key, notInArray, why, args...) }
+
+func (o *Object) fail(key string, index int, why string, args ...any) {
+	if *o.failed != nil {
+		return
+	}
+	path := o.Path(key)
+	if index != notInArray {
+		path += "[" + strconv.Itoa(index) + "]"
 	}
+	*o.failed = &Error{path, fmt.Sprintf(why, args...)}
 }
 
-// elements visits the array under a key; each element stands in list under its own place.
-func (o *Object) elements(key string, visit func(list *Object, at string)) {
-	elements, _ := value[[]json.RawMessage](o, key, array)
-	for k, element := range elements {
-		at := fmt.Sprintf("%s[%d]", key, k)
-		visit(&Object{path: o.path, fields: members{at: element}, failed: o.failed}, at)
+// elements returns what the array under a key holds, not decoded yet.
+func (o *Object) elements(key string) (all []json.RawMessage) {
+	if raw := o.fields[key]; o.has(key, notInArray, raw, array) {
+		json.Unmarshal(raw, &all)
 	}
+	return all
 }
 
-// value returns what stands under a key, if that is of the type that is wanted.
-func value[T any](o *Object, key string, wanted jsonType) (v T, ok bool) {
-	raw := o.fields[key]
-	switch there := kind(raw); {
-	case there == null:
-		return v, false
-	case there != wanted:
-		o.Fail(key, "a JSON %s where %s is wanted", there, wanted.phrase())
-		return v, false
-	}
-	if err := json.Unmarshal(raw, &v); err != nil {
-		o.Fail(key, "%v", err)
-		return v, false
+// has tells whether a value is there and of the type that is wanted. All of it is valid JSON, as the whole was.
+func (o *Object) has(key string, index int, raw json.RawMessage, wanted jsonType) bool {
+	switch there := kind(raw); there {
+	case wanted:
+		return true
+	case null:
+	default:
+		o.fail(key, index, "a JSON %s where %s is wanted", there, wanted.phrase())
 	}
-	return v, true
+	return false
 }
 
 // jsonType is what JSON calls a value's type.
--- a/internal/jsonobject/jsonobject_test.go
+++ b/internal/jsonobject/jsonobject_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 )
 
@@ -32,7 +33,7 @@
 	}
 	in := o.Object("in")
 	fmt.Println(in.Flags("flags"), in.Numbers("numbers"), in.Texts("texts"), in.Flags("absent"))
-	for _, element := range o.Objects("list") {
+	for element := range o.Objects("list") {
 		element.Whole("k", &whole)
 		fmt.Println(element.Path("k"), element.Has("k"), whole)
 	}
@@ -58,7 +59,11 @@
 		func(o *Object) { o.Text("in", new(string)) },
 		func(o *Object) { o.Object("in").Flag("array", new(bool)) },
 		func(o *Object) { o.Object("in").Numbers("array") },
-		func(o *Object) { o.Object("in").Objects("array")[1].Whole("k", new(int)) },
+		func(o *Object) {
+			for element := range o.Object("in").Objects("array") {
+				element.Whole("k", new(int))
+			}
+		},
 		func(o *Object) { o.Object("half") },
 		func(o *Object) { o.Whole("half", new(int)) },
 		func(o *Object) { o.Object("in").Fail("x", "first"); o.Fail("y", "second") },
@@ -93,7 +98,7 @@
 			return
 		}
 		number, whole := 0.0, 0
-		for _, in := range append(o.Objects("k"), o, o.ObjectIfAny("k")) {
+		for _, in := range slices.Concat(slices.Collect(o.Objects("k")), []*Object{o, o.ObjectIfAny("k")}) {
 			in.Number("k", &number)
 			in.Whole("k", &whole)
 			in.Texts("k")
--- a/rpc/read.go
+++ b/rpc/read.go
@@ -14,17 +14,16 @@
 	if err != nil {
 		return err
 	}
-	*s = ReadServed(o)
+	*s, _ = ReadServed(o)
 	s.readCalls(o.Object("domain"))
 	s.readSharing(o)
 	return o.Err()
 }
 
-// ReadServed reads the settings that an app server on sockets goes by; the object's Err tells what is wrong with them. What is
-// left out, or null, gets the mildest meaning that keeps the rules, here or in the module.
-func ReadServed(o *jsonobject.Object) Settings {
-	var s Settings
-	s.readMethods(o)
+// ReadServed reads the settings that an app server on sockets goes by, and its methods' names; the object's Err tells what is
+// wrong with them. What is left out, or null, gets the mildest meaning that keeps the rules, here or in the module.
+func ReadServed(o *jsonobject.Object) (s Settings, names []string) {
+	names = s.readMethods(o)
 	s.readMachine(o.Object("domain"))
 	rules := o.Object("rules")
 	rules.Number("overloadFactor", &s.Rules.Crowd)
@@ -36,13 +35,14 @@
 	ceilings := o.Object("ceilings")
 	ceilings.Flag("retryAfter", &s.Ceilings.RetryAfter)
 	ceilings.Number("maxRetryAfterS", &s.Ceilings.MaxRetryAfter)
-	return s
+	return s, names
 }
 
-func (s *Settings) readMethods(o *jsonobject.Object) {
-	for _, profile := range o.Objects("profiles") {
+func (s *Settings) readMethods(o *jsonobject.Object) (names []string) {
+	for profile := range o.Objects("profiles") {
 		var m Method
-		kind := ""
+		name, kind := "", ""
+		profile.Text("name", &name)
 		profile.Text("idempotency", &kind)
 		profile.Number("onTimeS", &m.Target)
 		profile.Number("deadlineS", &m.Deadline)
@@ -54,7 +54,9 @@
 			m.Window = m.longestWait()
 		}
 		s.Methods = append(s.Methods, m)
+		names = append(names, name)
 	}
+	return names
 }
 
 // longestWait is for how many seconds clients ask for one RPC of the method again, at the most.
@@ -96,7 +98,7 @@
 
 // readSharing reads what matters only where RPCs tell their tenant and what they read about.
 func (s *Settings) readSharing(o *jsonobject.Object) {
-	for _, account := range o.Objects("accounts") {
+	for account := range o.Objects("accounts") {
 		var t Tenant
 		account.Number("quotaRps", &t.Quota)
 		s.Tenants = append(s.Tenants, t)
