--- a/server/refuse.go
+++ b/server/refuse.go
@@ -52,12 +52,13 @@
 	interrupt func(target int32)
 }
 
-// Execute refuses an RPC: pushed back, unless another try of it may have run. A second message under a number is no RPC.
-func (r refuser) Execute(seq int32, _, _ []byte, _ int, recv, _, _ float64, _ bool, dedupe, _ []byte) {
+// Execute refuses an RPC: pushed back, unless another try of it may have run, or none can. A second message under a number is no RPC.
+func (r refuser) Execute(seq int32, op, _ []byte, _ int, recv, _, _ float64, _ bool, dedupe, _ []byte) {
 	if !r.numbers.unused(seq) {
 		return
 	}
-	if _, came := r.clock.arrival(recv, longest.Seconds()); len(dedupe) > 0 && r.gate.Knows(string(dedupe), came) {
+	method, known := r.methods[string(op)]
+	if !known || r.mayHaveRun(method, dedupe, recv) {
 		r.abort(seq)
 		return
 	}
@@ -65,6 +66,15 @@
 	r.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, false, after, load) })
 }
 
+// mayHaveRun reports whether another try of an RPC is in hand or has run.
+func (r refuser) mayHaveRun(method int, token []byte, recv float64) bool {
+	if !r.tokened(method) || len(token) == 0 {
+		return false
+	}
+	_, came := r.clock.arrival(recv, longest.Seconds())
+	return r.gate.Knows(method, string(token), came)
+}
+
 // Unreadable answers an RPC that could not have been run.
 func (r refuser) Unreadable(seq int32, _ string) {
 	if r.numbers.unused(seq) {
