--- a/gate/drawn_test.go
+++ b/gate/drawn_test.go
@@ -56,6 +56,7 @@
 	name           string
 	id             ID
 	method         int
+	kb             float64
 	token          string
 	came           float64 // to the machine; this and what follows by the true time
 	read, answerBy float64
@@ -88,7 +89,7 @@
 
 // arrive sends a new RPC or a further try.
 func (d *drawn) arrive() {
-	t := &try{read: d.now, name: fmt.Sprintf("%016x", len(d.tries)), method: d.r.IntN(len(d.c.Methods))}
+	t := &try{read: d.now, kb: 1 + d.r.Float64()*100, name: fmt.Sprintf("%016x", len(d.tries)), method: d.r.IntN(len(d.c.Methods))}
 	if d.c.Methods[t.method].Kind == rpc.Tokened {
 		t.token = fmt.Sprint(d.r.IntN(1 + len(d.tries)/4))
 	}
@@ -110,7 +111,7 @@
 	}
 	t.answerBy = max(d.now, min(t.came, d.now)+waits)
 	var taken bool
-	t.id, taken = d.Arrive(d.now, t.method, d.r.IntN(20), d.now-lay, due, 1+d.r.Float64()*100, d.r.IntN(4) == 0, t.name, t.token,
+	t.id, taken = d.Arrive(d.now, t.method, d.r.IntN(20), d.now-lay, due, t.kb, d.r.IntN(4) == 0, t.name, t.token,
 		[]byte(body), t)
 	if !taken {
 		if !t.bad {
@@ -194,11 +195,28 @@
 			d.fault(t, "answered again, or though its caller is gone")
 		}
 	}
+	d.memory()
 	if v := d.Credit(); math.IsNaN(v) || math.IsInf(v, 0) {
 		d.Errorf("credit %g", v)
 	}
 }
 
+// memory judges that what is held, and what runs by its factor, fits.
+func (d *drawn) memory() {
+	sum := 0.0
+	for _, t := range d.owed {
+		if !t.ran && t.answers == 0 && !t.gone {
+			sum += t.kb
+		}
+	}
+	for _, t := range d.running {
+		sum += t.kb * max(d.c.Machine.RunFactor, 1)
+	}
+	if limit := d.c.Machine.MemoryKB; limit > 0 && sum > limit {
+		d.Errorf("%8.3f memory %.1f of %g", d.now, sum, limit)
+	}
+}
+
 // overdue judges that what is due has been answered; the gate is looked at fifty times a second.
 func (d *drawn) overdue(until float64) {
 	kept := d.owed[:0]
