--- a/internal/kernel/commands.go
+++ b/internal/kernel/commands.go
@@ -154,10 +154,10 @@
 
 // reopen readies the list for a new connection: questions are void, and what may have been read and may not run twice is not
 // asked for again. It gives the tasks of these, of which it is not known any more whether they run.
-func (c *commands[K]) reopen() (doubtful []*task[K]) {
+func (c *commands[K]) reopen() (inDoubt []*task[K]) {
 	c.remove(func(one *command[K]) bool {
 		if one.start && one.task.asked && !one.task.repeatable {
-			doubtful = append(doubtful, one.task)
+			inDoubt = append(inDoubt, one.task)
 			return true
 		}
 		return one.echo != ""
@@ -166,5 +166,5 @@
 		c.list[k].wrote, c.list[k].read = time.Time{}, time.Time{}
 	}
 	c.unsent = len(c.list)
-	return doubtful
+	return inDoubt
 }
--- a/internal/kernel/connect.go
+++ b/internal/kernel/connect.go
@@ -128,7 +128,7 @@
 	// What may not have been read is sent again on the next connection, unless it must not run twice.
 	l.session++
 	l.up, l.handover = false, staying
-	l.doubtful = append(l.doubtful, l.commands.reopen()...)
+	l.inDoubt = append(l.inDoubt, l.commands.reopen()...)
 	return next, err
 }
 
@@ -139,7 +139,7 @@
 	up := l.up
 	if up {
 		select {
-		case <-l.parted:
+		case <-l.handoverReady:
 		default:
 		}
 		l.handover = finishing
@@ -153,7 +153,7 @@
 	defer late.Stop()
 	select {
 	case <-ctx.Done():
-	case <-l.parted:
+	case <-l.handoverReady:
 	case <-late.C:
 	}
 }
--- a/internal/kernel/link.go
+++ b/internal/kernel/link.go
@@ -51,22 +51,22 @@
 	lossSpan    time.Duration // what was read so long before a connection's end may be lost with it
 	handoverFor time.Duration // given to a connection's last question on a move
 
-	mu       sync.Mutex
-	at       netip.AddrPort
-	runs     map[string]*task[K]
-	commands commands[K]
-	doubtful []*task[K] // that the last connection's end left in doubt, until the next one is up
-	up       bool       // notices up to now are known, commands may go out
-	session  int        // counts connections
-	writing  bool       // commands are being written
-	handover handover
-	meters   []float64
-	measured time.Time
-	longest  time.Duration // that runs have taken of late
-	pos      int           // of the last notice read
-	work     chan struct{}
-	informed chan struct{}
-	parted   chan struct{} // holds one when a handover is ready
+	mu            sync.Mutex
+	at            netip.AddrPort
+	runs          map[string]*task[K]
+	commands      commands[K]
+	inDoubt       []*task[K] // that the last connection's end left in doubt, until the next one is up
+	up            bool       // notices up to now are known, commands may go out
+	session       int        // counts connections
+	writing       bool       // commands are being written
+	handover      handover
+	meters        []float64
+	measured      time.Time
+	longest       time.Duration // that runs have taken of late
+	pos           int           // of the last notice read
+	work          chan struct{}
+	informed      chan struct{}
+	handoverReady chan struct{} // holds one when all that was written has been read
 }
 
 // handover is how far a connection has come on its way to be replaced by one to another address.
@@ -79,19 +79,19 @@
 )
 
 const (
-	silence    = 5 * time.Second        // gauges are asked for many times a second: the link is dead
-	longRun    = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
-	firstRun   = 500 * time.Millisecond // is what runs are believed to take before any has ended
-	doubtLeast = 100 * time.Millisecond // given to runs in doubt where all take less than half of it
-	askAgain   = time.Second            // a question without an answer for so long may have been lost
-	forget     = 8 * time.Second        // and after so long its answer is not expected any more
-	loss       = 100 * time.Millisecond // commands of the last 50 ms before a break may be lost, and clocks have their limits
+	silence  = 5 * time.Second        // gauges are asked for many times a second: the link is dead
+	longRun  = 20 * time.Second       // a run that takes longer does no harm if it is taken for ended
+	firstRun = 500 * time.Millisecond // is what runs are believed to take before any has ended
+	minDoubt = 100 * time.Millisecond // given to runs in doubt where all take less than half of it
+	askAgain = time.Second            // a question without an answer for so long may have been lost
+	forget   = 8 * time.Second        // and after so long its answer is not expected any more
+	loss     = 100 * time.Millisecond // commands of the last 50 ms before a break may be lost, and clocks have their limits
 )
 
 // New makes a link to the kernel at an address; nothing is opened before Serve.
 func New[K any](at netip.AddrPort, owner Owner[K], log *zap.Logger) *Link[K] {
 	return &Link[K]{at: at, owner: owner, log: log, doubtFor: longRun, longest: firstRun, syncFor: askAgain, lossSpan: loss, handoverFor: handoverTime, moved: make(chan struct{}, 1),
-		runs: map[string]*task[K]{}, work: make(chan struct{}, 1), informed: make(chan struct{}, 1), parted: make(chan struct{}, 1)}
+		runs: map[string]*task[K]{}, work: make(chan struct{}, 1), informed: make(chan struct{}, 1), handoverReady: make(chan struct{}, 1)}
 }
 
 // Run asks for a run; its end comes to the owner. A name that runs already is not taken again. repeatable tells whether it
--- a/internal/kernel/notices.go
+++ b/internal/kernel/notices.go
@@ -48,14 +48,14 @@
 // reader is what is known of one connection's notices.
 type reader[K any] struct {
 	*Link[K]
-	booted    bool
-	answers   bool // the kernel has answered a question, so that its silence tells something
-	first     bool // no notice has come yet
-	blind     bool // a line was not understood and may have been a notice: the next one's number tells nothing
-	gaugeless bool // the site has no gauges, which has been said
-	strange   bool // an end of a run not in hand has been logged
-	skipping  bool // the line that comes is too long, and passed over
-	late      bool // nothing has come for as long as a silent kernel is borne
+	booted        bool
+	answers       bool // the kernel has answered a question, so that its silence tells something
+	first         bool // no notice has come yet
+	blind         bool // a line was not understood and may have been a notice: the next one's number tells nothing
+	refusalLogged bool // the site has no gauges, which has been said
+	unknownLogged bool // an end of a run not in hand has been logged
+	skipping      bool // the line that comes is too long, and passed over
+	late          bool // nothing has come for as long as a silent kernel is borne
 }
 
 // read takes notices until the connection ends.
@@ -169,15 +169,15 @@
 	}
 	took := max(n.Took, 0) / 1000
 	r.took(took)
-	if !r.ended(n.UID, took, n.Content, end) && !r.strange {
-		r.strange = true
+	if !r.ended(n.UID, took, n.Content, end) && !r.unknownLogged {
+		r.unknownLogged = true
 		r.log.Warn("end of a run not in hand", zap.String("run", n.UID))
 	}
 }
 
 // refused takes note of a command that was not carried out.
 func (r *reader[K]) refused(n *notice) {
-	if n.Code != "SYSINFO" || !r.gaugeless {
+	if n.Code != "SYSINFO" || !r.refusalLogged {
 		r.log.Warn("kernel did not carry out", zap.String("command", n.Code), zap.String("run", n.UID))
 	}
 	switch n.Code {
@@ -186,7 +186,7 @@
 		// only, so that this is no second copy of what has run.
 		r.ended(n.UID, 0, nil, &Attempt{Reach: NeverRan, Unknown: true, Why: "not carried out"})
 	case "SYSINFO": // a site without gauges: it marks the order of commands all the same
-		r.gaugeless = true
+		r.refusalLogged = true
 		r.answers = r.inform("", nil) || r.answers
 	}
 }
@@ -218,13 +218,13 @@
 			waits[c.task] = true
 		}
 	}
-	var doubtful []*task[K]
+	var inDoubt []*task[K]
 	for _, t := range l.runs {
 		if !waits[t] {
-			doubtful = append(doubtful, t)
+			inDoubt = append(inDoubt, t)
 		}
 	}
-	l.letGo(doubtful)
+	l.endInDoubt(inDoubt)
 }
 
 // took takes note of how long a run took.
@@ -235,14 +235,14 @@
 	l.longest = max(time.Duration(min(span, longRun.Seconds())*float64(time.Second)), time.Duration(kept*float64(l.longest)))
 }
 
-// letGo ends runs after a while, unless their end comes after all: without one a run would count for ever. The while is twice
+// endInDoubt ends runs after a while, unless their end comes after all: without one a run would count for ever. The while is twice
 // what the longest run of late took. Called under the lock.
-func (l *Link[K]) letGo(doubtful []*task[K]) {
-	if len(doubtful) == 0 {
+func (l *Link[K]) endInDoubt(inDoubt []*task[K]) {
+	if len(inDoubt) == 0 {
 		return
 	}
-	time.AfterFunc(min(l.doubtFor, max(2*l.longest, doubtLeast)), func() {
-		for _, t := range doubtful {
+	time.AfterFunc(min(l.doubtFor, max(2*l.longest, minDoubt)), func() {
+		for _, t := range inDoubt {
 			l.mu.Lock()
 			known := l.runs[t.uid] == t
 			if known {
@@ -288,17 +288,17 @@
 		defer l.mu.Unlock()
 		if l.session == session && !l.up {
 			l.log.Warn("kernel answers no question")
-			l.rise()
+			l.markUp()
 		}
 	})
 	signal(l.work)
 }
 
-// rise lets commands go out. Called under the lock.
-func (l *Link[K]) rise() {
+// markUp lets commands go out. Called under the lock.
+func (l *Link[K]) markUp() {
 	l.up = true
-	l.letGo(l.doubtful)
-	l.doubtful = nil
+	l.endInDoubt(l.inDoubt)
+	l.inDoubt = nil
 	signal(l.work)
 }
 
@@ -312,10 +312,10 @@
 	l.meters, l.measured = meters, time.Now()
 	if l.handover == handedOver && l.commands.asked() == nil {
 		l.commands.readAll()
-		signal(l.parted)
+		signal(l.handoverReady)
 	}
 	if !l.up {
-		l.rise()
+		l.markUp()
 	}
 	signal(l.informed)
 	return true
