rehearse: names of the field in place of the house style's

court, convene, pool, reservoir, stand, shift, laws and their like are roleCluster, startRoleCluster, sharedCluster, startSharedCluster, pressureServer, levelChange and writeSettings; their comments say what they do. newSharedCluster makes what two plays made each.

--- a/cmd/rehearse/owner.go
+++ b/cmd/rehearse/owner.go
@@ -15,16 +15,16 @@
 	"valveglade/rig"
 )
 
-// The lease of an experiment, and for how long after its last order somebody still counts as the owner there.
-const experimentLease, lately = time.Second, 200 * time.Millisecond
+// The lease of an experiment, and for how long after its last order a process still counts as the owner.
+const experimentLease, ownerWindow = time.Second, 200 * time.Millisecond
 
-// court is some processes among which there are owners, and the workers that take their orders.
-type court struct {
+// roleCluster is a cluster of processes of which some own roles, and the workers that carry out their orders.
+type roleCluster struct {
 	*rig.Cluster
 	workers []*rig.Worker // of each role
 }
 
-func (c *court) close() {
+func (c *roleCluster) close() {
 	if c == nil {
 		return
 	}
@@ -34,10 +34,10 @@
 	}
 }
 
-// convene starts one: as is the program, with two roles; the same with the fleet off; the lowest name of each view as the
-// owner; or such processes as campaign by clocks that drift, at the bound.
-func (p *play) convene(kind string, n int) (*court, error) {
-	c := &court{}
+// startRoleCluster starts a cluster of a kind: "on" is the program with two roles, "off" the same with the fleet off, "lowest" has
+// the lowest name of each view as the owner, and in "drifting" processes campaign by clocks that drift, at the bound.
+func (p *play) startRoleCluster(kind string, n int) (*roleCluster, error) {
+	c := &roleCluster{}
 	for range 2 {
 		w, err := rig.NewWorker(kind != "lowest", rig.NewHistory())
 		if err != nil {
@@ -70,14 +70,15 @@
 	return c, err
 }
 
-// rehearsedDrift is far more than clocks do.
+// experimentDrift is the bound on how far clocks drift apart: far more than real ones do.
 const experimentDrift = 0.2
 
-// taken waits for an owner of the first role that is not a given one, and gives how long that took.
-func (c *court) taken(not string) (string, float64) {
+// awaitOwner waits for an owner of the first role other than a given one. It returns the owner and the seconds that this took, or
+// +Inf if there is none in time.
+func (c *roleCluster) awaitOwner(not string) (string, float64) {
 	who := ""
 	took, ok := c.Until(15*time.Second, func() bool {
-		who = c.workers[0].Owner(lately)
+		who = c.workers[0].Owner(ownerWindow)
 		return who != "" && who != not
 	})
 	if !ok {
@@ -87,37 +88,37 @@
 }
 
 // playOwner is the experiment on roles: the owner killed, stopped past its lease with a command in its hands, cut off, left
-// without a majority, drained, while voters are slow, late, dead or without a disk; beside it the same by clocks that drift,
+// without a majority, drained, while voters are slow, late, dead or without a disk. The baselines are the same by clocks that drift,
 // processes where the lowest name of the view is the owner, and the same load with the fleet off.
 func playOwner(p *play) error {
 	const n = 5
 	all := names(n)
 	kinds := []string{"on", "off", "lowest", "drifting"}
-	courts := make([]*court, len(kinds))
+	clusters := make([]*roleCluster, len(kinds))
 	errs := make([]error, len(kinds))
 	var group sync.WaitGroup
 	for k, kind := range kinds {
-		group.Go(func() { courts[k], errs[k] = p.convene(kind, n) })
+		group.Go(func() { clusters[k], errs[k] = p.startRoleCluster(kind, n) })
 	}
 	group.Wait()
-	for _, c := range courts {
+	for _, c := range clusters {
 		defer c.close()
 	}
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
-	on, off, low, drifting := courts[0], courts[1], courts[2], courts[3]
+	on, off, low, drifting := clusters[0], clusters[1], clusters[2], clusters[3]
 	worker := on.workers[0]
-	owner, took := on.taken("")
+	owner, took := on.awaitOwner("")
 	p.atMost("first.owner.s", took, 10)
 	p.untilAlike(on.Cluster, 10*time.Second, n, all)
 	p.untilAlike(low.Cluster, 10*time.Second, n, all)
 
 	length := p.span(33 * time.Second)
-	served := map[*court]map[string]rig.Outcome{}
+	served := map[*roleCluster]map[string]rig.Outcome{}
 	var mu sync.Mutex
-	var loads, beside sync.WaitGroup
-	for _, c := range []*court{on, off} {
+	var loads, baselines sync.WaitGroup
+	for _, c := range []*roleCluster{on, off} {
 		loads.Go(func() {
 			out := p.load(c.Cluster, length, 20, all)
 			mu.Lock()
@@ -125,10 +126,10 @@
 			mu.Unlock()
 		})
 	}
-	beside.Go(func() { // the same is done to the lowest name, n1
+	baselines.Go(func() { // the same is done to the lowest name, n1
 		errs[2] = low.Run("5s stop n1\n9s cont n1\n11s split n1,n2|n3,n4,n5\n16s heal")
 	})
-	beside.Go(func() { errs[3] = p.drift(drifting) })
+	baselines.Go(func() { errs[3] = p.drift(drifting) })
 	// Whatever is done to a process is done to the same one where the fleet is off.
 	do := func(script string) {
 		var both sync.WaitGroup
@@ -136,12 +137,12 @@
 		errs[0] = errors.Join(errs[0], on.Run(script))
 		both.Wait()
 	}
-	if err := p.calm(on, off, all, owner); err != nil {
+	if err := p.undisturbed(on, off, all, owner); err != nil {
 		return err
 	}
 	worst := 0.0
 	next := func(how string) {
-		who, took := on.taken(owner)
+		who, took := on.awaitOwner(owner)
 		p.inform("new.owner.s."+how, took)
 		worst = max(worst, took)
 		owner = who
@@ -194,16 +195,16 @@
 	for _, name := range all[:3] {
 		do("0s cont " + name)
 	}
-	owner, took = on.taken("")
+	owner, took = on.awaitOwner("")
 	p.atMost("back.with.majority.s", took, 2*experimentLease.Seconds())
 	// Drained, as a voter dies.
 	do("0s kill " + others()[0])
 	do("0s notice " + owner)
-	_, took = on.taken(owner)
+	_, took = on.awaitOwner(owner)
 	p.atMost("handover.drain.s", took, 1)
 	p.atMost("new.owner.max.s", worst, 2*experimentLease.Seconds())
 	loads.Wait()
-	beside.Wait()
+	baselines.Wait()
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
@@ -226,9 +227,9 @@
 	return p.keep(on.Cluster)
 }
 
-// calm is when nothing happens to the owner: first nothing at all, then messages are lost, one voter is slow and one answers
-// later than a lease. What it costs is measured in the first part.
-func (p *play) calm(on, off *court, all []string, owner string) error {
+// undisturbed leaves the owner alone: first nothing happens, and the cost is measured; then messages are lost, one voter is slow and
+// one answers later than a lease. The owner must not change.
+func (p *play) undisturbed(on, off *roleCluster, all []string, owner string) error {
 	span := 4 * time.Second
 	if p.Long {
 		span = time.Minute
@@ -238,14 +239,14 @@
 	if err != nil {
 		return err
 	}
-	used := map[*court]time.Duration{}
-	cpu := func(c *court) (sum time.Duration) {
+	used := map[*roleCluster]time.Duration{}
+	cpu := func(c *roleCluster) (sum time.Duration) {
 		for _, name := range all {
 			sum += c.CPU(name)
 		}
 		return sum
 	}
-	for _, c := range []*court{on, off} {
+	for _, c := range []*roleCluster{on, off} {
 		used[c] = cpu(c)
 	}
 	time.Sleep(span)
@@ -261,7 +262,7 @@
 		resident += float64(on.Node(name).Resident()-off.Node(name).Resident()) / 1e6 / float64(len(all))
 	}
 	p.inform("resident.on.top.mb", resident)
-	rest := slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == owner || s == on.workers[1].Owner(lately) })
+	rest := slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == owner || s == on.workers[1].Owner(ownerWindow) })
 	if err := on.Run(fmt.Sprintf("0s loss *>* 10%%\n0s mute %s>* 500ms\n0s mute %s>* 1500ms\n4s heal", rest[0], rest[1])); err != nil {
 		return err
 	}
@@ -273,9 +274,9 @@
 	return nil
 }
 
-// drift has owners stopped past their leases whose clocks drift from the voters' by as much as they may.
-func (p *play) drift(c *court) error {
-	owner, _ := c.taken("")
+// drift stops owners past their leases whose clocks drift from the voters' by as much as they may.
+func (p *play) drift(c *roleCluster) error {
+	owner, _ := c.awaitOwner("")
 	for range 4 {
 		if owner == "" {
 			break
@@ -284,7 +285,7 @@
 		if err := c.Run("0s stop " + sleeper); err != nil {
 			return err
 		}
-		owner, _ = c.taken(sleeper)
+		owner, _ = c.awaitOwner(sleeper)
 		if err := c.Run("500ms cont " + sleeper); err != nil {
 			return err
 		}
@@ -292,7 +293,7 @@
 		if err := c.Run("500ms cut *>" + owner + "\n500ms cut " + owner + ">*"); err != nil {
 			return err
 		}
-		owner, _ = c.taken(owner)
+		owner, _ = c.awaitOwner(owner)
 		if err := c.Run("500ms heal"); err != nil {
 			return err
 		}
--- a/cmd/rehearse/pressure.go
+++ b/cmd/rehearse/pressure.go
@@ -28,7 +28,7 @@
 	}
 	t := &pressureTrial{directory: directory, arguments: map[bool][]string{}}
 	for on, word := range map[bool]string{true: "on", false: "off"} {
-		if t.arguments[on], err = laws(directory, word+".conf", "pressure "+word); err != nil {
+		if t.arguments[on], err = writeSettings(directory, word+".conf", "pressure "+word); err != nil {
 			t.close()
 			return nil, err
 		}
@@ -73,7 +73,7 @@
 // capacity is the rate that the throttled program can just bear, reading in plain order: a load rises until its RPCs
 // take several times as long as the work and the quota's pauses do.
 func (p *play) capacity(args []string) (float64, error) {
-	s, err := p.stand(tillSite(1000, 30), args, time.Second, 8)
+	s, err := p.startPressureServer(tillSite(1000, 30), args, time.Second, 8)
 	if err != nil {
 		return 0, err
 	}
@@ -110,13 +110,13 @@
 	return found, nil
 }
 
-// tripled is what came of a tripling.
-type tripled struct {
-	out     rig.Outcome
-	probes  []float64
-	away    int // repeats of what had begun that were pushed back
-	repeats int
-	shifts  []shift
+// triplingResult is what came of a tripling.
+type triplingResult struct {
+	out        rig.Outcome
+	probes     []float64
+	pushedBack int // repeats of what had begun that were pushed back
+	repeats    int
+	levels     []levelChange
 }
 
 // tripling has the load go from well within what the program can read to an eighth beyond it. The kernel could serve
@@ -133,8 +133,8 @@
 	}
 	p.inform("bears.rpcs.per.s", bears)
 	base := bears * 1.12 / 3
-	triple := func(on bool) (t tripled, err error) {
-		s, err := p.stand(tillSite(1000, 30), of(on), time.Second, 8)
+	triple := func(on bool) (t triplingResult, err error) {
+		s, err := p.startPressureServer(tillSite(1000, 30), of(on), time.Second, 8)
 		if err != nil {
 			return t, err
 		}
@@ -164,12 +164,12 @@
 			defer mu.Unlock()
 			t.repeats++
 			if errors.Is(err, rig.ErrPushedBack) {
-				t.away++
+				t.pushedBack++
 			}
 		})
 		end()
 		probing.Wait()
-		t.shifts = shifts(s.Programs[0].Log())
+		t.levels = levelChanges(s.Programs[0].Log())
 		if on { // without it the program falls behind, which is what is to be shown
 			note(s.check)
 		}
@@ -183,7 +183,7 @@
 	p.atLeast("off.loop.delay.p99.ms", quantile(off.probes, 0.99)*1000, 50)
 	p.atLeast("criticality.ok", on.out.Criticality, 0.95)
 	p.inform("off.criticality.ok", off.out.Criticality)
-	p.exactly("begun.turned.away", float64(on.away), 0)
+	p.exactly("begun.turned.away", float64(on.pushedBack), 0)
 	p.inform("begun.repeated", float64(on.repeats))
 	starved := 0
 	for _, s := range till(0, 0) {
@@ -195,7 +195,7 @@
 			float64(m.Times.ValueAtQuantile(99))/1000, o.OK, o.Asked, float64(o.Times.ValueAtQuantile(99))/1000)
 	}
 	p.exactly("starved.methods", float64(starved), 0)
-	for _, s := range on.shifts {
+	for _, s := range on.levels {
 		p.say("%s from %s by %s, %.0f refused", s.Level, s.From, s.Causes, s.Refused)
 	}
 	return nil
@@ -217,18 +217,18 @@
 		peak   int64
 		killed int
 		out    rig.Outcome
-		shifts []shift
+		shifts []levelChange
 	}
 	const limit = 18
 	one := func(on bool) (l leaked, err error) {
 		word := map[bool]string{true: "on", false: "off"}[on]
-		args, err := laws(dir, "leak-"+word+".conf", "pressure "+word, "pressure.growth "+max(length/6, time.Second).String())
+		args, err := writeSettings(dir, "leak-"+word+".conf", "pressure "+word, "pressure.growth "+max(length/6, time.Second).String())
 		if err != nil {
 			return l, err
 		}
 		site := tillSite(64, 2*1200)
 		site.MemoryMB, site.Kill = limit, true
-		s, err := p.stand(site, args, time.Second, 4)
+		s, err := p.startPressureServer(site, args, time.Second, 4)
 		if err != nil {
 			return l, err
 		}
@@ -238,7 +238,7 @@
 		l.out = rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return rate }, Length: length, Prefix: "l", Pad: 110,
 			Shares: shares}.Run(context.Background(), s.check, s.routers...)
 		l.peak, l.killed = s.Peak(), s.Killed()
-		l.shifts = shifts(s.Programs[0].Log())
+		l.shifts = levelChanges(s.Programs[0].Log())
 		if on {
 			note(s.check)
 		}
@@ -269,7 +269,7 @@
 // still.
 func (p *play) fewCores(of func(bool) []string, note func(*rig.Checker)) error {
 	const cores, work, rate = 4, 0.02, 330.0
-	s, err := p.stand(tillSite(cores, 30), of(true), 200*time.Millisecond, 8)
+	s, err := p.startPressureServer(tillSite(cores, 30), of(true), 200*time.Millisecond, 8)
 	if err != nil {
 		return err
 	}
@@ -294,17 +294,17 @@
 	}
 	p.atLeast("few.cores.of.the.best", out.Criticality/(best/asked), 0.95)
 	p.inform("few.cores.criticality.ok", out.Criticality)
-	var hung sync.WaitGroup
-	hung.Go(func() {
+	var hanging sync.WaitGroup
+	hanging.Go(func() {
 		time.Sleep(p.span(500 * time.Millisecond))
 		s.Programs[0].Kernel.Hang(true)
 		time.Sleep(p.span(1500 * time.Millisecond))
 		s.Programs[0].Kernel.Hang(false)
 	})
 	run("h", rate/3, p.span(2500*time.Millisecond))
-	hung.Wait()
+	hanging.Wait()
 	refused := 0.0
-	for _, m := range shifts(s.Programs[0].Log()) {
+	for _, m := range levelChanges(s.Programs[0].Log()) {
 		refused = max(refused, m.Refused)
 		p.say("few cores: %s from %s by %s", m.Level, m.From, m.Causes)
 	}
@@ -325,7 +325,7 @@
 			bears = f.Value
 		}
 	}
-	s, err := p.stand(tillSite(1000, 30), of(true), time.Second, 8)
+	s, err := p.startPressureServer(tillSite(1000, 30), of(true), time.Second, 8)
 	if err != nil {
 		return err
 	}
@@ -333,11 +333,11 @@
 	defer s.Programs[0].Throttle(quotaRun, quotaPeriod)()
 	rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return bears }, Length: length, Prefix: "e",
 		Shares: till(0.004, time.Second)}.Run(context.Background(), s.check, s.routers...)
-	all := shifts(s.Programs[0].Log())
+	all := levelChanges(s.Programs[0].Log())
 	for _, m := range all {
 		p.say("edge: %s from %s by %s, %.0f refused", m.Level, m.From, m.Causes, m.Refused)
 	}
-	p.atMost("flaps", float64(flaps(all)), 2)
+	p.atMost("flaps", float64(countFlaps(all)), 2)
 	note(s.check)
 	return nil
 }
@@ -365,7 +365,9 @@
 // calmCost compares the processor time of an RPC with watching and without, in turn.
 func (p *play) calmCost(of func(bool) []string, note func(*rig.Checker)) error {
 	const rate = 1500.0
-	one := func(on bool) (*stand, error) { return p.stand(tillSite(64, 30), of(on), time.Second, 4) }
+	one := func(on bool) (*pressureServer, error) {
+		return p.startPressureServer(tillSite(64, 30), of(on), time.Second, 4)
+	}
 	on, off, err := both(one)
 	if err != nil {
 		return err
@@ -379,7 +381,7 @@
 		rounds = 30
 	}
 	for k := range rounds * 2 {
-		s := []*stand{on, off}[k%2]
+		s := []*pressureServer{on, off}[k%2]
 		before := s.Programs[0].CPU()
 		out := rig.Load{Seed: p.Seed + uint64(k/2), Rate: func(float64) float64 { return rate }, Length: time.Second,
 			Prefix: "c" + string(rune('a'+k)), Shares: till(0.004, time.Second)}.Run(context.Background(), s.check, s.routers...)
--- a/cmd/rehearse/pressuresite.go
+++ b/cmd/rehearse/pressuresite.go
@@ -42,24 +42,24 @@
 		MaxAfter: 2, Methods: methods}
 }
 
-// laws writes an operators' file and gives the arguments that name it.
-func laws(dir, name string, lines ...string) ([]string, error) {
+// writeSettings writes a settings file and returns the arguments that name it.
+func writeSettings(dir, name string, lines ...string) ([]string, error) {
 	path := filepath.Join(dir, name)
 	return []string{"--settings", path}, os.WriteFile(path, []byte(strings.Join(lines, "\n")+"\n"), 0o600)
 }
 
-// shift is one line of the program's log about pressure.
-type shift struct {
+// levelChange is a change of the pressure level in the program's log.
+type levelChange struct {
 	Msg, Level, From, Causes string
 	TS                       float64
 	Refused                  float64
 }
 
-// shifts are the changes of level in a program's log.
-func shifts(log string) []shift {
-	var all []shift
+// levelChanges returns the changes of the pressure level in a program's log.
+func levelChanges(log string) []levelChange {
+	var all []levelChange
 	for line := range strings.Lines(log) {
-		var s shift
+		var s levelChange
 		if json.Unmarshal([]byte(line), &s) == nil && s.Msg == "pressure" {
 			all = append(all, s)
 		}
@@ -67,8 +67,8 @@
 	return all
 }
 
-// flaps counts the times that a level was left and taken again within ten seconds.
-func flaps(all []shift) int {
+// countFlaps counts the times that a level was left and entered again within ten seconds.
+func countFlaps(all []levelChange) int {
 	n := 0
 	rank := map[string]int{"calm": 0, "wary": 1, "pressed": 2, "strained": 3, "shut": 4}
 	fell := math.Inf(-1)
@@ -82,8 +82,8 @@
 	return n
 }
 
-// probe asks for health on a connection of its own, and keeps how long each answer took: what the program's loops take
-// to come round.
+// probe sends health checks on a connection of its own and returns the seconds that each answer took, which is the delay of the
+// program's event loops.
 func probe(ctx context.Context, address string, every time.Duration) []float64 {
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
@@ -131,35 +131,35 @@
 	return s[min(int(q*float64(len(s))), len(s)-1)]
 }
 
-// stand is one program with its fleet, its checker and its callers.
-type stand struct {
+// pressureServer is one app server with its stand-ins, its checker and its callers.
+type pressureServer struct {
 	*rig.Fleet
 	check   *rig.Checker
 	routers []rig.Caller
 }
 
-func (p *play) stand(site rig.Site, args []string, slack time.Duration, callers int) (*stand, error) {
+func (p *play) startPressureServer(site rig.Site, args []string, slack time.Duration, callers int) (*pressureServer, error) {
 	site.Args = args
 	check := rig.NewChecker(slack)
 	f, err := rig.NewFleet(p.Program, 1, site, check)
 	if err != nil {
 		return nil, err
 	}
-	s := &stand{Fleet: f, check: check}
+	s := &pressureServer{Fleet: f, check: check}
 	for k := range callers {
 		s.routers = append(s.routers, rig.NewRouter(k+1, f.Addresses()[0]))
 	}
 	return s, nil
 }
 
-func (s *stand) close() {
+func (s *pressureServer) close() {
 	for _, r := range s.routers {
 		r.Close()
 	}
 	s.Fleet.Close()
 }
 
-// both runs something with the shedding on and off, at the same time.
+// both runs a function with the shedding on and off, at the same time.
 func both[T any](f func(on bool) (T, error)) (on, off T, err error) {
 	var all sync.WaitGroup
 	var errOn, errOff error
@@ -169,5 +169,5 @@
 	return on, off, errors.Join(errOn, errOff)
 }
 
-// The quota that stands for a core that the reading side cannot do with: so much of each period.
+// The CPU quota that throttles the program below what reading needs: the run time in each period.
 const quotaRun, quotaPeriod = 1600 * time.Microsecond, 10 * time.Millisecond
--- a/cmd/rehearse/quotaload.go
+++ b/cmd/rehearse/quotaload.go
@@ -16,29 +16,40 @@
 	"valveglade/rpc"
 )
 
-// pool is a process cluster with something behind it, and what was asked of it.
-type pool struct {
+// sharedCluster is a process cluster with a shared backend, and a record of the RPCs that were sent to it.
+type sharedCluster struct {
 	*rig.Cluster
 	backend *rig.Backend
 
 	mu    sync.Mutex
-	asked []demanded
-	ok    map[string][2]float64 // by phase, criticality that was served and that was asked, of what needs the share
+	asked []sharedRequest
+	ok    map[string][2]float64 // by phase, the criticality served and asked of RPCs that need the backend
 	each  map[string][2]float64 // the same of each app server and method
-	plain map[string][2]float64 // of what does not
+	plain map[string][2]float64 // of those that do not
 	phase string
 }
 
-// demanded is one RPC that needs the share, as it was asked.
-type demanded struct {
+// sharedRequest is one RPC that needs the backend.
+type sharedRequest struct {
 	at, work, criticality float64
 	phase                 string
 }
 
-// reservoir starts a pool: under an allocator, split evenly, or without a common limit and without a fleet.
-func (p *play) reservoir(kind string, limit string) (*pool, error) {
+// newSharedCluster returns a shared cluster with a backend of a limit, and no processes yet.
+func newSharedCluster(limit int) *sharedCluster {
+	return &sharedCluster{
+		backend: rig.NewBackend(limit, "lookup", "check", "record"),
+		ok:      map[string][2]float64{},
+		each:    map[string][2]float64{},
+		plain:   map[string][2]float64{},
+	}
+}
+
+// startSharedCluster starts a cluster of a kind: "on" under an allocator, "even" with the limit split evenly, "off" without a common
+// limit and without a fleet.
+func (p *play) startSharedCluster(kind string, limit string) (*sharedCluster, error) {
 	all := names(sharedOn)
-	r := &pool{backend: rig.NewBackend(sharedLimit, "lookup", "check", "record"), ok: map[string][2]float64{}, each: map[string][2]float64{}, plain: map[string][2]float64{}}
+	r := newSharedCluster(sharedLimit)
 	plan := p.sharedPlan(sharedOn, r.backend)
 	reserved := 1
 	switch kind {
@@ -54,7 +65,7 @@
 	return r, err
 }
 
-// sharedPlan is a process cluster whose runs reach what is behind.
+// sharedPlan is the plan of a cluster whose runs use the backend.
 func (p *play) sharedPlan(n int, backend *rig.Backend) rig.Plan {
 	plan := p.plan(n)
 	plan.Backend = backend
@@ -70,15 +81,15 @@
 	return plan
 }
 
-// enter names the part of the run that what is asked from now on belongs to.
-func (r *pool) enter(phase string) {
+// startPhase names the part of the run to which RPCs belong from now on.
+func (r *sharedCluster) startPhase(phase string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.phase = phase
 }
 
-// ask has callers ask all app servers, each at a rate of its own that may change.
-func (r *pool) ask(ctx context.Context, p *play, length time.Duration, rate func(name string) float64) {
+// load sends RPCs to all app servers, to each at a rate of its own that may change.
+func (r *sharedCluster) load(ctx context.Context, p *play, length time.Duration, rate func(name string) float64) {
 	began := time.Now()
 	var group sync.WaitGroup
 	for k, name := range r.Names() {
@@ -91,7 +102,7 @@
 					r.mu.Lock()
 					defer r.mu.Unlock()
 					if s.Method != "plain" {
-						r.asked = append(r.asked, demanded{time.Since(began).Seconds(), work, s.Criticality, r.phase})
+						r.asked = append(r.asked, sharedRequest{time.Since(began).Seconds(), work, s.Criticality, r.phase})
 					}
 				},
 				After: func(s rig.Share, _, _ string, _ []byte, err error) {
@@ -118,16 +129,16 @@
 	group.Wait()
 }
 
-// part is what was served of what was asked in a phase, by criticality.
-func (r *pool) part(phase string) float64 {
+// servedShare returns the share of criticality that was served in a phase.
+func (r *sharedCluster) servedShare(phase string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	o := r.ok[phase]
 	return o[0] / max(o[1], 1e-9)
 }
 
-// least is the same of the app server and method of which the least was served.
-func (r *pool) least(phase string) float64 {
+// leastServedShare returns the least such share over all app servers and methods.
+func (r *sharedCluster) leastServedShare(phase string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	least := 1.0
@@ -139,13 +150,13 @@
 	return least
 }
 
-// best is what somebody would serve who knew everything at once, with no way to go and nothing at random: in each half second
-// the most worthy first, as far as the limit goes.
-func (r *pool) best(phase string) float64 {
+// bestShare returns the share that an ideal scheduler would serve, with full knowledge and no delay: in each half second the most
+// critical first, as far as the limit goes.
+func (r *sharedCluster) bestShare(phase string) float64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	const span = 0.5
-	windows := map[int][]demanded{}
+	windows := map[int][]sharedRequest{}
 	all, got := 0.0, 0.0
 	for _, d := range r.asked {
 		if d.phase == phase {
@@ -154,7 +165,7 @@
 		}
 	}
 	for _, w := range windows {
-		slices.SortStableFunc(w, func(a, b demanded) int { return cmp.Compare(b.criticality, a.criticality) })
+		slices.SortStableFunc(w, func(a, b sharedRequest) int { return cmp.Compare(b.criticality, a.criticality) })
 		left := span * sharedLimit
 		for _, d := range w {
 			if left -= d.work; left < 0 {
@@ -166,8 +177,8 @@
 	return got / max(all, 1e-9)
 }
 
-// packets is how many of the fleet's all processes have sent.
-func (r *pool) packets() (sum float64) {
+// packets returns the number of the fleet's packets that all processes have sent.
+func (r *sharedCluster) packets() (sum float64) {
 	for _, n := range r.Running() {
 		if shown, err := member.ReadStatus(r.Socket(n)); err == nil {
 			sum += float64(shown.Packets[0])
@@ -176,8 +187,8 @@
 	return sum
 }
 
-// allocator asks the processes who allocates the share, and what everybody has.
-func (r *pool) allocator() (name string, s fleet.Share) {
+// allocator returns the process that allocates the share, and the share as it sees it.
+func (r *sharedCluster) allocator() (name string, s fleet.Share) {
 	for _, n := range r.Running() {
 		shown, err := member.ReadStatus(r.Socket(n))
 		if err != nil || shown.Roles == nil {
--- a/cmd/rehearse/scale_config.go
+++ b/cmd/rehearse/scale_config.go
@@ -47,8 +47,8 @@
 	change                                 changeCost
 }
 
-// weighConfig starts a program with a configuration and changes that some times.
-func (p *play) weighConfig(size tables) (cost configCost, err error) {
+// measureConfigOnce starts a program with a configuration and changes that some times.
+func (p *play) measureConfigOnce(size tables) (cost configCost, err error) {
 	s, err := p.startScaled(size, roomyMemory, fewSockets)
 	if err != nil {
 		return cost, err
@@ -85,7 +85,7 @@
 func (p *play) configSeries(r *slope.Result, against string, sizes []int, of func(n int) tables) error {
 	var file, start, resident, wall, cpu, peak []slope.Point
 	for _, n := range sizes {
-		cost, err := p.weighConfig(of(n))
+		cost, err := p.measureConfigOnce(of(n))
 		if err != nil {
 			return err
 		}
--- a/cmd/rehearse/scale_fleet.go
+++ b/cmd/rehearse/scale_fleet.go
@@ -31,13 +31,13 @@
 	processCore, processResident float64 // of one real process: share of a core, and bytes
 }
 
-// The members and processes beside a crowd.
+// The members and processes amid a crowd.
 const (
 	crowdMembers   = 4
 	crowdProcesses = 6
 )
 
-// crowdSizes are the sizes of fleets amid which members are weighed, and for how many seconds. A member takes no exchange of more
+// crowdSizes are the sizes of fleets amid which members are measured, and for how many seconds. A member takes no exchange of more
 // than 4,096 names, so it cannot join a larger fleet: a trial amid 8,600 that was told by gossip alone never came to know all.
 func (p *play) crowdSizes() (sizes []int, seconds float64) {
 	switch {
@@ -49,7 +49,7 @@
 	return []int{100, 300, 1000, 2000}, 6
 }
 
-// crowdRun is the weighing of one size under way.
+// crowdRun is the measurement at one size.
 type crowdRun struct {
 	p       *play
 	size    int
@@ -61,7 +61,7 @@
 	cost    crowdCost
 }
 
-// processNames are the real processes beside a crowd.
+// processNames are the real processes amid a crowd.
 func processNames() []string {
 	var all []string
 	for k := range crowdProcesses {
@@ -70,8 +70,8 @@
 	return all
 }
 
-// weighAmid weighs members and processes in a fleet of one size.
-func (p *play) weighAmid(size int, seconds float64) (crowdCost, error) {
+// measureAmid measures members and processes in a fleet of one size.
+func (p *play) measureAmid(size int, seconds float64) (crowdCost, error) {
 	r := &crowdRun{p: p, size: size, seconds: seconds, cost: crowdCost{size: size}}
 	defer r.close()
 	for _, step := range []func() error{r.start, r.join, r.newcomer, r.drain, r.churn, r.exchange, r.zone} {
@@ -114,7 +114,7 @@
 	ready.Add(1)
 	r.members, err = hollow.StartMembers(exec.Command(r.p.self(), "hollow", "members"), plan, func(s hollow.Seen) {
 		ready.Wait()
-		r.crowd.Sees(r.targets[s.Member], s.Version, s.Digest)
+		r.crowd.SetView(r.targets[s.Member], s.Version, s.Digest)
 	})
 	if err != nil {
 		ready.Done()
@@ -137,8 +137,8 @@
 func (r *crowdRun) reachDirectly() error {
 	for k, name := range processNames() {
 		own, via := r.cluster.Paths.Own(k+1).String(), r.cluster.Paths.Via(k+1).String()
-		err := r.cluster.Amend(name, func(laws string) string {
-			return strings.Replace(laws, "fleet.advertise "+via, "fleet.advertise "+own, 1)
+		err := r.cluster.Amend(name, func(settings string) string {
+			return strings.Replace(settings, "fleet.advertise "+via, "fleet.advertise "+own, 1)
 		})
 		if err != nil {
 			return err
@@ -191,8 +191,8 @@
 	cpu, sentBytes, bytes, packets float64 // a member and second
 }
 
-// during samples the members before and after something.
-func (r *crowdRun) during(do func() error) (spanCost, error) {
+// measureDuring samples the members before and after something.
+func (r *crowdRun) measureDuring(do func() error) (spanCost, error) {
 	before, err := r.members.Sample()
 	if err != nil {
 		return spanCost{}, err
@@ -221,9 +221,9 @@
 	return func() error { time.Sleep(d); return nil }
 }
 
-// newcomer weighs what a member sends right after it has joined: all that it has learnt.
+// newcomer measures what a member sends right after it has joined: all that it has learnt.
 func (r *crowdRun) newcomer() error {
-	c, err := r.during(sleepFor(r.p.span(time.Second)))
+	c, err := r.measureDuring(sleepFor(r.p.span(time.Second)))
 	r.cost.newcomerSent = c.sentBytes
 	return err
 }
@@ -237,11 +237,11 @@
 	return nil
 }
 
-// churn weighs members and processes while others restart.
+// churn measures members and processes while others restart.
 func (r *crowdRun) churn() error {
 	cpu := r.processCPU()
 	began := time.Now()
-	c, err := r.during(func() error {
+	c, err := r.measureDuring(func() error {
 		r.restarts()
 		return nil
 	})
@@ -279,17 +279,17 @@
 	}
 }
 
-// exchange weighs whole exchanges, one after another.
+// exchange measures whole exchanges, one after another.
 func (r *crowdRun) exchange() error {
 	const times = 3
 	refused := 0
 	bytes := int64(0)
-	rest, err := r.during(sleepFor(r.p.span(time.Second)))
+	rest, err := r.measureDuring(sleepFor(r.p.span(time.Second)))
 	if err != nil {
 		return err
 	}
 	began := time.Now()
-	c, err := r.during(func() error {
+	c, err := r.measureDuring(func() error {
 		for range times {
 			for _, t := range r.targets[:crowdMembers] {
 				n, err := r.crowd.Exchange(t, false)
@@ -328,13 +328,13 @@
 	return nil
 }
 
-// measureAmidCrowds weighs real members and real processes in fleets of several sizes, side by side.
+// measureAmidCrowds measures real members and real processes in fleets of several sizes, side by side.
 func measureAmidCrowds(p *play, r *slope.Result) error {
 	sizes, seconds := p.crowdSizes()
 	costs, errs := make([]crowdCost, len(sizes)), make([]error, len(sizes))
 	var group sync.WaitGroup
 	for k, size := range sizes {
-		group.Go(func() { costs[k], errs[k] = p.weighAmid(size, seconds) })
+		group.Go(func() { costs[k], errs[k] = p.measureAmid(size, seconds) })
 	}
 	group.Wait()
 	failed := 0
--- a/cmd/rehearse/scale_roles.go
+++ b/cmd/rehearse/scale_roles.go
@@ -112,7 +112,7 @@
 // quotaSizes are the holders and kinds of work that an allocator is measured against.
 type quotaSizes struct {
 	holders, kinds []int
-	many           int // holders beside each number of kinds
+	many           int // holders at each number of kinds
 	seconds        float64
 }
 
--- a/cmd/rehearse/scale_rpc.go
+++ b/cmd/rehearse/scale_rpc.go
@@ -210,13 +210,13 @@
 func (p *play) rpcSeries(r *slope.Result, s *scaledProgram, bare *bareServer, note string) error {
 	through := newFrameLoad(s.configuration.listen, s.check, s.configuration.tables.routes, "rpc")
 	defer through.close()
-	beside := newFrameLoad(bare.address, nil, s.configuration.tables.routes, "bare")
-	defer beside.close()
+	bareLoad := newFrameLoad(bare.address, nil, s.configuration.tables.routes, "bare")
+	defer bareLoad.close()
 	rates := p.rpcRates()
 	var medians, tails, cpus = make([][]slope.Point, len(rates)), make([][]slope.Point, len(rates)), make([][]slope.Point, len(rates))
 	for _, n := range p.connectionSizes() {
 		n = min(n, pairedConnections/2)
-		for _, load := range []*frameLoad{through, beside} {
+		for _, load := range []*frameLoad{through, bareLoad} {
 			if err := load.connect(n); err != nil {
 				return fmt.Errorf("%d connections to %s: %w: %.2000s", n, load.prefix, err, s.Log())
 			}
@@ -226,7 +226,7 @@
 		}
 		for k, rate := range rates {
 			cpu, sent := s.CPU(), through.sent
-			added, err := compareLoads(through, beside, rate, p.Seed+uint64(n))
+			added, err := compareLoads(through, bareLoad, rate, p.Seed+uint64(n))
 			if err != nil {
 				return fmt.Errorf("%d connections, %g RPCs a second: %w", n, rate.perSecond, err)
 			}
@@ -307,9 +307,9 @@
 	defer s.close()
 	through := newFrameLoad(s.configuration.listen, s.check, size.routes, "changing")
 	defer through.close()
-	beside := newFrameLoad(bare.address, nil, size.routes, "bare")
-	defer beside.close()
-	for _, load := range []*frameLoad{through, beside} {
+	bareLoad := newFrameLoad(bare.address, nil, size.routes, "bare")
+	defer bareLoad.close()
+	for _, load := range []*frameLoad{through, bareLoad} {
 		if err := load.connect(connections); err != nil {
 			return added, 0, err
 		}
@@ -319,14 +319,14 @@
 	}
 	rate := p.changingRate()
 	cpu, began := s.CPU(), time.Now()
-	if _, err := playRound(through, beside, rpcRate{meanRate, 1, rate.length / 2}, p.Seed); err != nil {
+	if _, err := playRound(through, bareLoad, rpcRate{meanRate, 1, rate.length / 2}, p.Seed); err != nil {
 		return added, 0, err
 	}
 	quietCore := (s.CPU() - cpu).Seconds() / time.Since(began).Seconds()
 	end, over := make(chan struct{}), make(chan error, 1)
 	go func() { over <- s.changeUntil(end) }()
 	cpu, began = s.CPU(), time.Now()
-	added, err = compareLoads(through, beside, rate, p.Seed+1)
+	added, err = compareLoads(through, bareLoad, rate, p.Seed+1)
 	core = (s.CPU()-cpu).Seconds()/time.Since(began).Seconds() - quietCore
 	close(end)
 	if changed := <-over; err == nil {
--- a/cmd/rehearse/scale_table.go
+++ b/cmd/rehearse/scale_table.go
@@ -100,8 +100,8 @@
 
 const tableChanges = 4000 // that are applied one by one
 
-// weighTable builds a table, changes it, and takes it through a snapshot on disk.
-func weighTable(shape tableShape) (cost tableCost, err error) {
+// measureTableOnce builds a table, changes it, and takes it through a snapshot on disk.
+func measureTableOnce(shape tableShape) (cost tableCost, err error) {
 	cost.entries = float64(shape.entries())
 	before := heapInUse()
 	table, err := shape.build()
@@ -226,7 +226,7 @@
 	}
 	points := make([][]slope.Point, len(columns))
 	for _, entries := range p.entrySizes() {
-		cost, err := weighTable(shapeOf(entries, p.Seed))
+		cost, err := measureTableOnce(shapeOf(entries, p.Seed))
 		if err != nil {
 			return fmt.Errorf("%d entries: %w", entries, err)
 		}
--- a/cmd/rehearse/share.go
+++ b/cmd/rehearse/share.go
@@ -14,33 +14,35 @@
 	"valveglade/rpc"
 )
 
-// The share of the experiment: how much it is, among how many, and how long a run takes on the mean. A third of it is reserved. Where all
-// ask for more, one app server of so many has less than a tenth: that is missing for a while if it dies.
+// The limit of the experiment, the number of app servers that share it, and the mean work of a run in seconds. A third of the limit
+// is reserved. Where all ask for more, one app server has less than a tenth, which is missing for a while if it dies.
 const (
 	sharedLimit = 48
 	sharedOn    = 16
 	sharedWork  = 0.1
 )
 
-// sharedLoad is what callers ask for: three methods that need the share, and one that does not.
+// sharedLoad is the mix of RPCs: three methods that need the shared backend, and one that does not.
 func sharedLoad() []rig.Share {
-	return append([]rig.Share{
+	return []rig.Share{
 		{Method: "lookup", Kind: rpc.Idempotent, Criticality: 1, Part: 0.45, Work: sharedWork, Deadline: time.Second},
 		{Method: "check", Kind: rpc.Idempotent, Criticality: 2, Part: 0.25, Work: sharedWork, Deadline: time.Second},
-		{Method: "record", Kind: rpc.Tokened, Criticality: 4, Part: 0.15, Work: sharedWork, Deadline: time.Second}}, rig.Share{Method: "plain", Kind: rpc.Idempotent, Criticality: 1, Part: 0.15, Work: 0.01, Deadline: time.Second})
+		{Method: "record", Kind: rpc.Tokened, Criticality: 4, Part: 0.15, Work: sharedWork, Deadline: time.Second},
+		{Method: "plain", Kind: rpc.Idempotent, Criticality: 1, Part: 0.15, Work: 0.01, Deadline: time.Second},
+	}
 }
 
 // playShare is the experiment on a common limit: demand that moves, an allocator killed, stopped and cut off, a holder killed, a lower
-// limit, all restarted; beside it an even split, and no common limit.
+// limit, all restarted. The baselines are an even split, and no common limit.
 func playShare(p *play) error {
 	kinds := []string{"on", "even", "off"}
-	pools, errs := make([]*pool, 3), make([]error, 3)
+	clusters, errs := make([]*sharedCluster, 3), make([]error, 3)
 	var group sync.WaitGroup
 	for k, kind := range kinds {
-		group.Go(func() { pools[k], errs[k] = p.reservoir(kind, fmt.Sprint(sharedLimit)) })
+		group.Go(func() { clusters[k], errs[k] = p.startSharedCluster(kind, fmt.Sprint(sharedLimit)) })
 	}
 	group.Wait()
-	for _, r := range pools {
+	for _, r := range clusters {
 		if r != nil && r.Cluster != nil {
 			defer r.Close()
 		}
@@ -48,7 +50,7 @@
 	if err := errors.Join(errs...); err != nil {
 		return err
 	}
-	on, even, off := pools[0], pools[1], pools[2]
+	on, even, off := clusters[0], clusters[1], clusters[2]
 	allocator := ""
 	took, _ := on.Until(10*time.Second, func() bool { allocator, _ = on.allocator(); return allocator != "" })
 	p.atMost("first.keeper.s", took, 10)
@@ -79,19 +81,19 @@
 	var loads sync.WaitGroup
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	besides, enough := context.WithCancel(ctx)
-	defer enough()
-	for _, r := range pools {
-		r.enter("start")
-		until := besides
+	compared, endCompared := context.WithCancel(ctx)
+	defer endCompared()
+	for _, r := range clusters {
+		r.startPhase("start")
+		until := compared
 		if r == on {
 			until = ctx
 		}
-		loads.Go(func() { r.ask(until, p, time.Minute, rates) })
+		loads.Go(func() { r.load(until, p, time.Minute, rates) })
 	}
 	time.Sleep(time.Second)
-	for _, r := range pools {
-		r.enter("skewed")
+	for _, r := range clusters {
+		r.startPhase("skewed")
 	}
 	follows := 0.0
 	for _, name := range []string{"n2", "n5", "n8"} {
@@ -107,8 +109,8 @@
 		follows = max(follows, took)
 	}
 	p.atMost("follows.demand.s", follows, 2)
-	for _, r := range pools {
-		r.enter("full")
+	for _, r := range clusters {
+		r.startPhase("full")
 	}
 	move("", 1.5*whole)
 	time.Sleep(time.Second)
@@ -121,8 +123,8 @@
 	p.inform("packets.a.run", packets/float64(runs))
 	p.atLeast("used.steady", on.backend.Used()/sharedLimit, 0.9)
 	p.inform("used.steady.even", even.backend.Used()/sharedLimit)
-	on.enter("faults")
-	enough()
+	on.startPhase("faults")
+	endCompared()
 	// Somebody else is to allocate it: use stays above the reserved permits, and comes back.
 	change := func(how, script string) {
 		was, _ := on.allocator()
@@ -196,19 +198,19 @@
 		starts.Go(func() { on.Run("0s start " + name) })
 	}
 	starts.Wait()
-	on.enter("again")
-	on.ask(context.Background(), p, 4*time.Second, rates)
+	on.startPhase("again")
+	on.load(context.Background(), p, 4*time.Second, rates)
 	p.exactly("over.limit.restarted", float64(on.backend.Over()), 0)
-	p.inform("served.restarted", on.part("again"))
+	p.inform("served.restarted", on.servedShare("again"))
 	p.atLeast("over.limit.off", float64(off.backend.Over()), 1)
 	p.exactly("over.limit.even", float64(even.backend.Over()), 0)
 	for _, phase := range []string{"skewed", "full"} {
-		p.inform("best."+phase, on.best(phase))
-		p.atLeast("criticality.ok."+phase, on.part(phase)/on.best(phase), 0.9)
-		p.inform("criticality.even."+phase, even.part(phase))
+		p.inform("best."+phase, on.bestShare(phase))
+		p.atLeast("criticality.ok."+phase, on.servedShare(phase)/on.bestShare(phase), 0.9)
+		p.inform("criticality.even."+phase, even.servedShare(phase))
 	}
-	p.atLeast("served.least.full", on.least("full"), 0.1)
-	p.atLeast("criticality.of.even.skewed", on.part("skewed")/even.part("skewed"), 1.3)
+	p.atLeast("served.least.full", on.leastServedShare("full"), 0.1)
+	p.atLeast("criticality.of.even.skewed", on.servedShare("skewed")/even.servedShare("skewed"), 1.3)
 	for _, phase := range []string{"skewed", "full"} { // nothing else is done to either then
 		a, b := on.plain[phase], off.plain[phase]
 		p.atLeast("plain.of.off."+phase, a[0]/a[1]/(b[0]/b[1]), 0.98)
@@ -218,11 +220,11 @@
 }
 
 // lower has a reload lower the limit by a third, and gives by how much that is passed once what was granted before is over.
-func (r *pool) lower(p *play) int {
+func (r *sharedCluster) lower(p *play) int {
 	const to = sharedLimit * 2 / 3
 	for _, name := range r.Names() {
-		r.Amend(name, func(laws string) string {
-			return strings.Replace(laws, fmt.Sprintf("behind %d ", sharedLimit), fmt.Sprintf("behind %d ", to), 1)
+		r.Amend(name, func(settings string) string {
+			return strings.Replace(settings, fmt.Sprintf("behind %d ", sharedLimit), fmt.Sprintf("behind %d ", to), 1)
 		})
 		r.Node(name).Reload()
 	}
@@ -237,8 +239,7 @@
 // playShareForty is the experiment on few permits among many: each of forty processes has its turn.
 func playShareForty(p *play) error {
 	const many, few = 40, 10
-	r := &pool{backend: rig.NewBackend(few, "lookup", "check", "record"), ok: map[string][2]float64{}, each: map[string][2]float64{},
-		plain: map[string][2]float64{}}
+	r := newSharedCluster(few)
 	plan := p.sharedPlan(many, r.backend)
 	plan.Laws = []string{"fleet.voters " + strings.Join(names(5), " "), "fleet.lease " + experimentLease.String(),
 		fmt.Sprintf("fleet.share behind %d lookup check record", few), "fleet.floor 1 n1 n2"}
@@ -252,11 +253,11 @@
 	}
 	p.untilAlike(r.Cluster, 15*time.Second, many, r.Names())
 	time.Sleep(3500 * time.Millisecond) // until the reserved permits may be used
-	r.enter("many")
+	r.startPhase("many")
 	var load sync.WaitGroup
 	length := p.span(12 * time.Second)
 	load.Go(func() { // four times what may run
-		r.ask(context.Background(), p, length, func(string) float64 { return 4 * few / sharedWork / 0.85 / many })
+		r.load(context.Background(), p, length, func(string) float64 { return 4 * few / sharedWork / 0.85 / many })
 	})
 	time.Sleep(length / 4)
 	r.backend.Used()
@@ -281,7 +282,7 @@
 
 // playShareAuto is the experiment on a limit that is found: what stands behind takes longer past so many at once, which changes.
 func playShareAuto(p *play) error {
-	r, err := p.reservoir("on", fmt.Sprintf("auto %d-%d %s", sharedOn, 3*sharedLimit, time.Duration(autoTarget*sharedWork*float64(time.Second))))
+	r, err := p.startSharedCluster("on", fmt.Sprintf("auto %d-%d %s", sharedOn, 3*sharedLimit, time.Duration(autoTarget*sharedWork*float64(time.Second))))
 	if err != nil {
 		return err
 	}
@@ -292,9 +293,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	var loads sync.WaitGroup
-	r.enter("auto")
+	r.startPhase("auto")
 	loads.Go(func() { // more than there is, at the most that is borne
-		r.ask(ctx, p, time.Minute, func(string) float64 { return 1.4 * sharedLimit / sharedWork / 0.85 / sharedOn })
+		r.load(ctx, p, time.Minute, func(string) float64 { return 1.4 * sharedLimit / sharedWork / 0.85 / sharedOn })
 	})
 	for k, bears := range []int{sharedLimit, sharedLimit / 2, sharedLimit} {
 		r.backend.Bears(bears)
--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -15,7 +15,7 @@
 )
 
 // playView is the experiment on the view: deaths, flapping, two under one name, a sleeper, a rolling release and a start of
-// all at once, beside the same processes with the fleet off.
+// all at once, compared with the same processes with the fleet off.
 func playView(p *play) error {
 	const n = 12
 	plan := p.plan(n)
@@ -34,7 +34,7 @@
 	// At rest, once what the joining has set off has been passed around.
 	if !p.brief {
 		time.Sleep(3 * time.Second)
-		if err := p.atRest(on, off, all, 3*time.Second); err != nil {
+		if err := p.measureAtRest(on, off, all, 3*time.Second); err != nil {
 			return err
 		}
 	}
@@ -128,9 +128,9 @@
 	return p.keep(on)
 }
 
-// atRest measures what the fleet costs a process that has nothing to do: bytes and packets of the fleet, and processor time on
+// measureAtRest measures what the fleet costs an idle process: bytes and packets of the fleet, and processor time on
 // top of the same process with the fleet off.
-func (p *play) atRest(on, off *rig.Cluster, all []string, span time.Duration) error {
+func (p *play) measureAtRest(on, off *rig.Cluster, all []string, span time.Duration) error {
 	look := func() (cpuOn, cpuOff time.Duration, bytes, packets int64, err error) {
 		for _, name := range all {
 			shown, err := member.ReadStatus(on.Socket(name))
@@ -161,7 +161,7 @@
 	return nil
 }
 
-// playViewFaults is the experiment on the view between faults of the network, beside the gossip library alone.
+// playViewFaults is the experiment on the view between faults of the network, compared with the gossip library alone.
 func playViewFaults(p *play) error {
 	const n = 12
 	f, err := startClusters(p.plan(n), p.bare(n))
@@ -250,8 +250,8 @@
 	return p.keep(on)
 }
 
-// playViewDrawn plays faults that nobody has chosen, and asks for what must hold whatever they were: in the end all see
-// the same, all of it, and no rule was broken.
+// playViewDrawn plays faults drawn at random, and checks what must hold under any faults: in the end all processes have one view of
+// all that run, and no rule was broken.
 func playViewDrawn(p *play) error {
 	const n = 8
 	length := p.span(20 * time.Second)
--- a/cmd/rehearse/viewcluster.go
+++ b/cmd/rehearse/viewcluster.go
@@ -155,15 +155,15 @@
 // span. Alive tells whether a member was alive at a time.
 func falseDeaths(s *rig.Cluster, from, to, span float64, viewers []string, alive func(name string, t float64) bool) (all, lasting int) {
 	for _, viewer := range viewers {
-		sights := s.History.Observations(viewer, from)
-		for k, observation := range sights {
+		observations := s.History.Observations(viewer, from)
+		for k, observation := range observations {
 			for _, c := range observation.Changes {
 				name, rest, _ := strings.Cut(c, " ")
 				if !strings.HasPrefix(rest, "went: ") || strings.Contains(rest, "left") || observation.T > to || !alive(name, observation.T) {
 					continue
 				}
 				all++
-				back := slices.ContainsFunc(sights[k:], func(l rig.Observation) bool {
+				back := slices.ContainsFunc(observations[k:], func(l rig.Observation) bool {
 					return l.T < observation.T+span && slices.ContainsFunc(l.Changes, func(c string) bool { return strings.HasPrefix(c, name+" came") })
 				})
 				if !back {
--- a/cmd/rehearse/viewcost.go
+++ b/cmd/rehearse/viewcost.go
@@ -16,7 +16,7 @@
 	"valveglade/member"
 )
 
-// playViewCost weighs the fleet's view at sizes that processes do not reach: many members in this process, over loopback
+// playViewCost measures the fleet's view at sizes that processes do not reach: many members in this process, over loopback
 // sockets, at rest and after a fifth have died at one time.
 func playViewCost(p *play) error {
 	sizes := []int{20, 100}
@@ -28,7 +28,7 @@
 	}
 	var converged []float64
 	for _, n := range sizes {
-		took, err := p.weighView(n)
+		took, err := p.measureView(n)
 		if err != nil {
 			return err
 		}
@@ -45,8 +45,8 @@
 // hundred times that.
 const atRest = 2000
 
-// weighView gives how long the rest of n took to settle after a fifth had died, in seconds.
-func (p *play) weighView(n int) (float64, error) {
+// measureView gives how long the rest of n took to settle after a fifth had died, in seconds.
+func (p *play) measureView(n int) (float64, error) {
 	name := func(what string) string { return fmt.Sprintf("%s.%d", what, n) }
 	runtime.GC()
 	var before, after runtime.MemStats
