--- a/cmd/rehearse/client_faults.go
+++ b/cmd/rehearse/client_faults.go
@@ -11,73 +11,48 @@
 	"valveglade/rig"
 )
 
+// The fleet and load of halfOut: half of these app servers cannot quite carry the rate.
+const (
+	halfOutClients  = 16
+	halfOutServers  = 4
+	halfOutRate     = 440.0 // RPCs per second
+	halfOutDeadline = 800 * time.Millisecond
+)
+
+// halfOutResult is what one kind of client made of the outage.
+type halfOutResult struct {
+	out   rig.Outcome
+	check *rig.Checker
+}
+
+// triesPerRPC returns the mean number of tries of an RPC.
+func (r halfOutResult) triesPerRPC() float64 {
+	return float64(r.check.Count("tries")) / float64(r.out.Asked)
+}
+
 // halfOut kills half the app servers for some seconds, with the careful client and with the naive one, each with a
 // fleet of its own, at the same time.
 func (p *play) halfOut(note func(*rig.Checker)) error {
-	const clients, servers = 16, 4
-	length := p.span(8 * time.Second)
-	deadline := 800 * time.Millisecond
-	type side struct {
-		out   rig.Outcome
-		check *rig.Checker
-		err   error
-	}
-	var good, bad side
-	one := func(s *side, make func(k int, addresses []string) (rig.Caller, error)) {
-		s.check = rig.NewChecker(2 * slack)
-		f, err := rig.NewFleet(p.Program, servers, shopSite(deadline), s.check)
-		if err != nil {
-			s.err = err
-			return
-		}
-		defer f.Close()
-		var callers []rig.Caller
-		for k := range clients {
-			c, err := make(k, f.Addresses())
-			if err != nil {
-				s.err = err
-				return
-			}
-			defer c.Close()
-			callers = append(callers, c)
-		}
-		var trouble sync.WaitGroup
-		trouble.Go(func() {
-			time.Sleep(length / 4)
-			for k := range servers / 2 {
-				f.Programs[k].Kill()
-			}
-			time.Sleep(length / 2)
-			for k := range servers / 2 {
-				if err := f.Programs[k].Start(); err != nil {
-					s.err = errors.Join(s.err, err)
-				}
-			}
-		})
-		// Two of four app servers cannot quite carry this.
-		s.out = rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return 440 }, Length: length, Prefix: "b",
-			Shares: shop(0.01, deadline)}.Run(context.Background(), s.check, callers...)
-		trouble.Wait()
-	}
+	var good, bad halfOutResult
+	var errGood, errBad error
 	var both sync.WaitGroup
 	both.Go(func() {
-		one(&good, func(k int, addresses []string) (rig.Caller, error) {
+		good, errGood = p.halfOutOf(func(k int, addresses []string) (rig.Caller, error) {
 			c, err := client.New(client.Servers(addresses...), client.Seed(p.Seed*7919+uint64(k)+1))
 			return careful{c, kindsOf(shop(0, 0))}, err
 		})
 	})
 	both.Go(func() {
-		one(&bad, func(k int, addresses []string) (rig.Caller, error) {
+		bad, errBad = p.halfOutOf(func(k int, addresses []string) (rig.Caller, error) {
 			return rig.NewNaiveClient(100+k, addresses...), nil
 		})
 	})
 	both.Wait()
-	if err := errors.Join(good.err, bad.err); err != nil {
+	if err := errors.Join(errGood, errBad); err != nil {
 		return err
 	}
-	tries := func(s side) float64 { return float64(s.check.Count("tries")) / float64(s.out.Asked) }
-	p.atMost("tries.per.rpc", tries(good), 1.10)
-	p.inform("naive.tries.per.rpc", tries(bad))
+	p.atMost("tries.per.rpc", good.triesPerRPC(), 1.10)
+	p.inform("naive.tries.per.rpc", bad.triesPerRPC())
 	p.atLeast("criticality.served", good.out.Criticality, math.Floor(bad.out.Criticality*1e4)/1e4)
 	p.inform("naive.criticality.served", bad.out.Criticality)
 	p.inform("naive.double.runs", float64(bad.check.Count("double.runs")))
@@ -89,6 +64,48 @@
 	return nil
 }
 
+// halfOutOf plays the outage with one kind of client.
+func (p *play) halfOutOf(newCaller func(k int, addresses []string) (rig.Caller, error)) (r halfOutResult, err error) {
+	length := p.span(8 * time.Second)
+	r.check = rig.NewChecker(2 * slack)
+	f, err := rig.NewFleet(p.Program, halfOutServers, shopSite(halfOutDeadline), r.check)
+	if err != nil {
+		return r, err
+	}
+	defer f.Close()
+	var callers []rig.Caller
+	for k := range halfOutClients {
+		c, err := newCaller(k, f.Addresses())
+		if err != nil {
+			return r, err
+		}
+		defer c.Close()
+		callers = append(callers, c)
+	}
+	var outage sync.WaitGroup
+	var errOutage error
+	outage.Go(func() { errOutage = killHalf(f, length) })
+	r.out = rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return halfOutRate }, Length: length, Prefix: "b",
+		Shares: shop(0.01, halfOutDeadline)}.Run(context.Background(), r.check, callers...)
+	outage.Wait()
+	return r, errOutage
+}
+
+// killHalf kills half of a fleet's programs after a quarter of a time, and starts them again after three quarters.
+func killHalf(f *rig.Fleet, length time.Duration) error {
+	half := f.Programs[:len(f.Programs)/2]
+	time.Sleep(length / 4)
+	for _, program := range half {
+		program.Kill()
+	}
+	time.Sleep(length / 2)
+	var errs []error
+	for _, program := range half {
+		errs = append(errs, program.Start())
+	}
+	return errors.Join(errs...)
+}
+
 // hardCases plays what a real app server does seldom: silence, trickles, ten seconds of refusals, a refusal that comes
 // as the deadline ends, deadlines shorter than a round trip, a list that goes empty.
 func (p *play) hardCases(note func(*rig.Checker)) error {
