--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -199,7 +199,7 @@
 		s.ids["b"], _ = s.Arrive(s.now, write, 0, s.now, s.now+4, 20, false, "b", fmt.Sprint(k), nil, "b")
 		s.Gone(s.now, s.ids["b"])
 	}
-	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest) < 100, len(s.slots))
+	fmt.Println(len(s.tokens.entries), len(s.tokens.expiry) == 1, len(s.slots))
 	// Output:
 	//  0.00 a: run
 	// 1 true 2
@@ -372,7 +372,7 @@
 		s.came("a2", write, s.now-25, "t", "body")
 		s.pass(unread + 0.1)
 		s.arrive("b1", write, "t")
-		fmt.Println(len(s.tokens.entries), len(s.tokens.oldest))
+		fmt.Println(len(s.tokens.entries), len(s.tokens.expiry))
 	}
 	// Output:
 	//  0.00 a1: run
@@ -404,7 +404,7 @@
 	send("a4")
 	s.report("a1", rpc.OK, "done")
 	s.pass(0.1)
-	fmt.Println(len(s.tokens.entries), len(s.tokens.oldest), len(s.tokens.results), s.tokens.bytes)
+	fmt.Println(len(s.tokens.entries), len(s.tokens.expiry), s.tokens.results.Len(), s.tokens.bytes)
 	send("b1")
 	s.pass(1)
 	// Output:
@@ -474,3 +474,138 @@
 	//  0.04 c: ok "1"
 	// 0 run, 0 wait
 }
+
+// One method's window is a day, another's a second: tokens of the second go after theirs, however many of the first came
+// before them.
+func Example_windowsApart() {
+	s := openTold(2, 1000, func(c *rpc.Settings) {
+		c.Methods = append(c.Methods, c.Methods[write])
+		c.Methods[write].Window = 86400
+		c.Methods[write+1].Window = 1
+		c.Machine.EntryKB = 0.01
+	})
+	s.arrive("day", write, "day")
+	s.report("day", rpc.OK, "1")
+	for k := range 100 {
+		s.ids["x"], _ = s.Arrive(s.now, write+1, 0, s.now, s.now+4, 20, false, "x", fmt.Sprint(k), nil, "x")
+		s.Report(s.now, s.ids["x"], rpc.OK, 0.1, []byte("result"))
+	}
+	none, stop := context.WithCancel(context.Background())
+	stop()
+	for job, err := s.Pick(none); err == nil; job, err = s.Pick(none) {
+		_ = job
+	}
+	s.pass(unread + 2)
+	fmt.Println(len(s.tokens.entries), s.tokens.bytes)
+	s.arrive("day again", write, "day")
+	// Output:
+	//  0.00 day: run
+	//  0.00 day: ok "1"
+	// 1 1
+	//  7.00 day again: ok "1"
+}
+
+// Two methods number their tokens each on its own: the same token under both is two RPCs, and each has its own result.
+func Example_tokensOfTwoMethods() {
+	s := openTold(2, 1000, func(c *rpc.Settings) { c.Methods = append(c.Methods, c.Methods[write]) })
+	s.arrive("a1", write, "t")
+	s.arrive("b1", write+1, "t")
+	s.report("a1", rpc.OK, "of a")
+	s.report("b1", rpc.OK, "of b")
+	s.arrive("b2", write+1, "t")
+	s.arrive("a2", write, "t")
+	// Output:
+	//  0.00 a1: run
+	//  0.00 b1: run
+	//  0.00 a1: ok "of a"
+	//  0.00 b1: ok "of b"
+	//  0.00 b2: ok "of b"
+	//  0.00 a2: ok "of a"
+}
+
+// Runs are stopped only where the settings name a way to stop them: a site that names none allows no such command.
+func Example_preemption() {
+	for _, way := range []rpc.Preemption{"", rpc.Unstoppable, rpc.Discards, rpc.Freezes} {
+		s := openTold(1, 1000, func(c *rpc.Settings) { c.Machine.Preemption = way })
+		fmt.Printf("%q\n", way)
+		s.arrive("a", read, "")
+		s.arrive("b", read, "")
+		s.pass(1.3) // a has lost its worth, b waits
+		s.gone("a")
+		s.arrive("c", write, "t")
+		s.gone("c")
+	}
+	// Output:
+	// ""
+	//  0.00 a: run
+	//  1.22 b: pushed back
+	// "none"
+	//  0.00 a: run
+	//  1.22 b: pushed back
+	// "discard"
+	//  0.00 a: run
+	//  1.22 a: pushed back
+	//  1.22 a: pause
+	//  1.22 b: pushed back
+	// "freeze"
+	//  0.00 a: run
+	//  1.22 a: pushed back
+	//  1.22 a: pause
+	//  1.22 b: pushed back
+}
+
+// Where no results are kept at all, those that waited for one get it all the same, and later repeats are aborted, not run.
+func Example_keepNothing() {
+	s := open(1, 0)
+	s.arrive("a1", write, "t")
+	s.arrive("a2", write, "t")
+	s.report("a1", rpc.OK, "done")
+	s.arrive("a3", write, "t")
+	fmt.Println(s.tokens.bytes, s.tokens.results.Len())
+	// Output:
+	//  0.00 a1: run
+	//  0.00 a1: ok "done"
+	//  0.00 a2: ok "done"
+	//  0.00 a3: aborted
+	// 0 0
+}
+
+// A window of days and tokens that cost the machine nothing, or next to it: the process's own memory bounds them. Past that
+// tokened RPCs are pushed back, others run.
+func Example_tokensBound() {
+	for _, memory := range []float64{0, 4000, 1e12} {
+		for _, entry := range []float64{0, 1e-9} {
+			s := openTold(2, 0, func(c *rpc.Settings) {
+				c.Methods[write].Window = 30 * 86400
+				c.Machine.EntryKB, c.Machine.MemoryKB = entry, memory
+			})
+			did := map[Do]int{}
+			none, stop := context.WithCancel(context.Background())
+			stop()
+			for k := range 2 * leastTokens {
+				id, _ := s.Arrive(s.now, write, 0, s.now, s.now+4, 20, false, "x", fmt.Sprint(k), nil, "x")
+				s.Report(s.now, id, rpc.OK, 0.01, nil)
+				s.now += 0.1
+				for job, err := s.Pick(none); err == nil; job, err = s.Pick(none) {
+					did[job.Do]++
+				}
+			}
+			fmt.Println(memory, entry, did[Run] == len(s.tokens.entries), did[Run] > leastTokens*9/10, did[Run] <= leastTokens+1,
+				did[Serve] == did[Run], did[Run]+did[PushBack] == 2*leastTokens)
+			s.arrive("read", read, "")
+		}
+	}
+	// Output:
+	// 0 0 true true true true true
+	// 204.80 read: run
+	// 0 1e-09 true true true true true
+	// 204.80 read: run
+	// 4000 0 true true true true true
+	// 204.80 read: run
+	// 4000 1e-09 true true true true true
+	// 204.80 read: run
+	// 1e+12 0 true true true true true
+	// 204.80 read: run
+	// 1e+12 1e-09 true true true true true
+	// 204.80 read: run
+}
