rehearse: the experiment on a common limit in one function for each fault

Seen and left: errors of the kills in restartAll are collected after they were last looked at, as before.

--- a/cmd/rehearse/share.go
+++ b/cmd/rehearse/share.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -32,191 +31,175 @@
 	}
 }
 
+// sharedRate is the rate in RPCs per second that fills the limit: 0.85 of the mix needs the shared backend.
+const sharedRate = sharedLimit / sharedWork / 0.85
+
+// sharedDemand is how many RPCs are sent to each app server, which changes while they are sent.
+type sharedDemand struct {
+	mu   sync.Mutex
+	hot  string  // the app server that gets most of them, empty where all get the same
+	rate float64 // of all together, in RPCs per second
+}
+
+// set changes the demand from now on.
+func (d *sharedDemand) set(hot string, rate float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.hot, d.rate = hot, rate
+}
+
+// of returns the rate at one app server.
+func (d *sharedDemand) of(name string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	switch {
+	case d.hot == "":
+		return d.rate / sharedOn
+	case d.hot == name:
+		return 0.6 * d.rate
+	}
+	return 0.4 * d.rate / (sharedOn - 1)
+}
+
+// shareTrial is the state of the experiment on a common limit.
+type shareTrial struct {
+	*play
+	on, even, off *sharedCluster
+	demand        sharedDemand
+	err           error // of faults
+}
+
 // playShare is the experiment on a common limit: demand that moves, an allocator killed, stopped and cut off, a holder killed, a lower
 // limit, all restarted. The baselines are an even split, and no common limit.
 func playShare(p *play) error {
-	kinds := []string{"on", "even", "off"}
-	clusters, errs := make([]*sharedCluster, 3), make([]error, 3)
-	var group sync.WaitGroup
-	for k, kind := range kinds {
-		group.Go(func() { clusters[k], errs[k] = p.startSharedCluster(kind, fmt.Sprint(sharedLimit)) })
-	}
-	group.Wait()
-	for _, r := range clusters {
-		if r != nil && r.Cluster != nil {
-			defer r.Close()
-		}
-	}
-	if err := errors.Join(errs...); err != nil {
+	t := &shareTrial{play: p}
+	err := t.start()
+	defer t.close()
+	if err != nil {
 		return err
 	}
-	on, even, off := clusters[0], clusters[1], clusters[2]
-	allocator := ""
-	took, _ := on.Until(10*time.Second, func() bool { allocator, _ = on.allocator(); return allocator != "" })
+	took, _ := t.on.Until(10*time.Second, func() bool { name, _ := t.on.allocator(); return name != "" })
 	p.atMost("first.keeper.s", took, 10)
-	p.untilAlike(on.Cluster, 10*time.Second, sharedOn, on.Names())
+	p.untilAlike(t.on.Cluster, 10*time.Second, sharedOn, t.on.Names())
 	time.Sleep(2 * time.Second) // the wait of reserved permits for former incarnations is over
 
-	// The load: at first most of it at one app server, which changes every two seconds; then more than there is, everywhere.
-	const whole = sharedLimit / sharedWork / 0.85 // RPCs a second that fill the limit
-	const skewed = 0.75                           // of it
-	var mu sync.Mutex
-	hot, rate := "n1", skewed*whole
-	rates := func(name string) float64 {
-		mu.Lock()
-		defer mu.Unlock()
-		switch {
-		case hot == "":
-			return rate / sharedOn
-		case hot == name:
-			return 0.6 * rate
-		}
-		return 0.4 * rate / (sharedOn - 1)
-	}
-	move := func(to string, r float64) {
-		mu.Lock()
-		defer mu.Unlock()
-		hot, rate = to, r
-	}
 	var loads sync.WaitGroup
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	compared, endCompared := context.WithCancel(ctx)
 	defer endCompared()
-	for _, r := range clusters {
-		r.startPhase("start")
+	t.demand.set("n1", skewedDemand*sharedRate)
+	for _, c := range t.clusters() {
+		c.startPhase("start")
 		until := compared
-		if r == on {
+		if c == t.on {
 			until = ctx
 		}
-		loads.Go(func() { r.load(until, p, time.Minute, rates) })
+		loads.Go(func() { c.load(until, p, time.Minute, t.demand.of) })
 	}
 	time.Sleep(time.Second)
-	for _, r := range clusters {
-		r.startPhase("skewed")
+	t.moveDemand()
+	t.fillLimit()
+	t.on.startPhase("faults")
+	endCompared()
+	t.failHolders(t.changeAllocators())
+	p.exactly("over.limit", float64(t.on.backend.Over()), 0)
+	p.exactly("over.limit.lowered", float64(t.on.lower(p)), 0)
+	stop()
+	loads.Wait()
+	if t.err != nil {
+		return t.err
 	}
+	t.restartAll()
+	t.compare()
+	p.violations(t.on.Cluster, t.even.Cluster, t.off.Cluster)
+	return p.keep(t.on.Cluster)
+}
+
+// start starts the clusters, all at the same time.
+func (t *shareTrial) start() error {
+	var group sync.WaitGroup
+	errs := make([]error, 3)
+	for k, one := range []struct {
+		kind    string
+		cluster **sharedCluster
+	}{{"on", &t.on}, {"even", &t.even}, {"off", &t.off}} {
+		group.Go(func() { *one.cluster, errs[k] = t.startSharedCluster(one.kind, fmt.Sprint(sharedLimit)) })
+	}
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+func (t *shareTrial) clusters() []*sharedCluster { return []*sharedCluster{t.on, t.even, t.off} }
+
+func (t *shareTrial) close() {
+	for _, c := range t.clusters() {
+		if c != nil && c.Cluster != nil {
+			c.Close()
+		}
+	}
+}
+
+// enter begins a phase in all clusters.
+func (t *shareTrial) enter(phase string) {
+	for _, c := range t.clusters() {
+		c.startPhase(phase)
+	}
+}
+
+// skewedDemand is the share of sharedRate that is sent while most of it goes to one app server.
+const skewedDemand = 0.75
+
+// moveDemand sends most of the demand to one app server, another one every two seconds, and measures how long the share follows.
+func (t *shareTrial) moveDemand() {
+	t.enter("skewed")
 	follows := 0.0
 	for _, name := range []string{"n2", "n5", "n8"} {
-		move(name, skewed*whole)
+		t.demand.set(name, skewedDemand*sharedRate)
 		began := time.Now()
 		took := math.Inf(1)
 		for time.Since(began) < 2*time.Second {
-			if _, n := on.backend.Now(name); n >= sharedLimit/3 && math.IsInf(took, 1) {
+			if _, n := t.on.backend.Now(name); n >= sharedLimit/3 && math.IsInf(took, 1) {
 				took = time.Since(began).Seconds()
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
 		follows = max(follows, took)
 	}
-	p.atMost("follows.demand.s", follows, 2)
-	for _, r := range clusters {
-		r.startPhase("full")
-	}
-	move("", 1.5*whole)
+	t.atMost("follows.demand.s", follows, 2)
+}
+
+// fillLimit sends more than the limit, to all alike, and measures the use of the limit and the packets that this takes.
+func (t *shareTrial) fillLimit() {
+	t.enter("full")
+	t.demand.set("", 1.5*sharedRate)
 	time.Sleep(time.Second)
-	on.backend.Used()
-	even.backend.Used()
-	packets, runs, began := on.packets(), on.backend.Runs(), time.Now()
+	t.on.backend.Used()
+	t.even.backend.Used()
+	packets, runs, began := t.on.packets(), t.on.backend.Runs(), time.Now()
 	time.Sleep(3 * time.Second)
-	packets, runs = on.packets()-packets, on.backend.Runs()-runs
-	p.inform("packets.s", packets/time.Since(began).Seconds()/sharedOn)
-	p.inform("packets.a.run", packets/float64(runs))
-	p.atLeast("used.steady", on.backend.Used()/sharedLimit, 0.9)
-	p.inform("used.steady.even", even.backend.Used()/sharedLimit)
-	on.startPhase("faults")
-	endCompared()
-	// Somebody else is to allocate it: use stays above the reserved permits, and comes back.
-	change := func(how, script string) {
-		was, _ := on.allocator()
-		on.backend.Used()
-		began := time.Now()
-		errs[0] = errors.Join(errs[0], on.Run(strings.ReplaceAll(script, "ALLOCATOR", was)))
-		now, back := "", math.Inf(1)
-		least := 1.0
-		for time.Since(began) < 4*experimentLease {
-			time.Sleep(250 * time.Millisecond)
-			used := on.backend.Used() / sharedLimit
-			least = min(least, used)
-			if now == "" {
-				if now, _ = on.allocator(); now == was {
-					now = ""
-				}
-			}
-			if now != "" && used >= 0.9 {
-				back = time.Since(began).Seconds()
-				break
-			}
-		}
-		if how == "cut" { // what is on the other side comes back with the cut's end alone
-			p.inform("back.s."+how, back)
-		} else {
-			p.atMost("back.s."+how, back, 3*experimentLease.Seconds())
-		}
-		p.atLeast("used.least."+how, least, float64(sharedOn-1)/sharedLimit)
-	}
-	change("killed", "0s kill ALLOCATOR")
-	for _, name := range on.Names() {
-		if !slices.Contains(on.Running(), name) {
-			errs[0] = errors.Join(errs[0], on.Run("0s start "+name))
-		}
-	}
-	// What the one that died had, and the reserved permits of its new incarnation, are back once its last grant is over.
-	on.backend.Used()
-	on.Until(5*time.Second, func() bool { time.Sleep(300 * time.Millisecond); return on.backend.Used() >= 0.97*sharedLimit })
-	allocator, _ = on.allocator()
-	change("stopped", "0s stop ALLOCATOR")
-	errs[0] = errors.Join(errs[0], on.Run("1500ms cont "+allocator))
-	allocator, _ = on.allocator()
-	others := slices.DeleteFunc(on.Names(), func(n string) bool { return n == allocator })
-	change("cut", "0s split ALLOCATOR,"+strings.Join(others[sharedOn/2:], ",")+"|"+strings.Join(others[:sharedOn/2], ","))
-	// While a holder dies, and another is stopped past its grant, everything behind takes ten times as long, and recovers.
-	var slow sync.WaitGroup
-	slow.Go(func() {
-		for _, times := range []float64{10, 1} {
-			time.Sleep(1500 * time.Millisecond)
-			for _, name := range on.Names() {
-				on.Node(name).Kernel.Slow(times)
-			}
-		}
-	})
-	errs[0] = errors.Join(errs[0], on.Run("500ms heal\n500ms kill "+others[0]+"\n500ms stop "+others[1]+"\n1500ms start "+others[0]+"\n4s cont "+others[1]+"\n5s heal"))
-	slow.Wait()
-	p.exactly("over.limit", float64(on.backend.Over()), 0)
-	p.exactly("over.limit.lowered", float64(on.lower(p)), 0)
-	stop()
-	loads.Wait()
-	if err := errors.Join(errs...); err != nil {
-		return err
-	}
-	// All restarted cold, and at once full again.
-	move("", 1.5*whole)
-	for _, name := range on.Names() {
-		errs[0] = errors.Join(errs[0], on.Run("0s kill "+name))
-	}
-	var starts sync.WaitGroup
-	for _, name := range on.Names() {
-		starts.Go(func() { on.Run("0s start " + name) })
-	}
-	starts.Wait()
-	on.startPhase("again")
-	on.load(context.Background(), p, 4*time.Second, rates)
-	p.exactly("over.limit.restarted", float64(on.backend.Over()), 0)
-	p.inform("served.restarted", on.servedShare("again"))
-	p.atLeast("over.limit.off", float64(off.backend.Over()), 1)
-	p.exactly("over.limit.even", float64(even.backend.Over()), 0)
+	packets, runs = t.on.packets()-packets, t.on.backend.Runs()-runs
+	t.inform("packets.s", packets/time.Since(began).Seconds()/sharedOn)
+	t.inform("packets.a.run", packets/float64(runs))
+	t.atLeast("used.steady", t.on.backend.Used()/sharedLimit, 0.9)
+	t.inform("used.steady.even", t.even.backend.Used()/sharedLimit)
+}
+
+// compare compares what was served under an allocator with the baselines.
+func (t *shareTrial) compare() {
+	t.atLeast("over.limit.off", float64(t.off.backend.Over()), 1)
+	t.exactly("over.limit.even", float64(t.even.backend.Over()), 0)
 	for _, phase := range []string{"skewed", "full"} {
-		p.inform("best."+phase, on.bestShare(phase))
-		p.atLeast("criticality.ok."+phase, on.servedShare(phase)/on.bestShare(phase), 0.9)
-		p.inform("criticality.even."+phase, even.servedShare(phase))
+		t.inform("best."+phase, t.on.bestShare(phase))
+		t.atLeast("criticality.ok."+phase, t.on.servedShare(phase)/t.on.bestShare(phase), 0.9)
+		t.inform("criticality.even."+phase, t.even.servedShare(phase))
 	}
-	p.atLeast("served.least.full", on.leastServedShare("full"), 0.1)
-	p.atLeast("criticality.of.even.skewed", on.servedShare("skewed")/even.servedShare("skewed"), 1.3)
+	t.atLeast("served.least.full", t.on.leastServedShare("full"), 0.1)
+	t.atLeast("criticality.of.even.skewed", t.on.servedShare("skewed")/t.even.servedShare("skewed"), 1.3)
 	for _, phase := range []string{"skewed", "full"} { // nothing else is done to either then
-		a, b := on.plain[phase], off.plain[phase]
-		p.atLeast("plain.of.off."+phase, a[0]/a[1]/(b[0]/b[1]), 0.98)
+		a, b := t.on.plain[phase], t.off.plain[phase]
+		t.atLeast("plain.of.off."+phase, a[0]/a[1]/(b[0]/b[1]), 0.98)
 	}
-	p.violations(on.Cluster, even.Cluster, off.Cluster)
-	return p.keep(on.Cluster)
 }
 
 // lower has a reload lower the limit by a third, and gives by how much that is passed once what was granted before is over.
@@ -295,7 +278,7 @@
 	var loads sync.WaitGroup
 	r.startPhase("auto")
 	loads.Go(func() { // more than there is, at the most that is borne
-		r.load(ctx, p, time.Minute, func(string) float64 { return 1.4 * sharedLimit / sharedWork / 0.85 / sharedOn })
+		r.load(ctx, p, time.Minute, func(string) float64 { return 1.4 * sharedRate / sharedOn })
 	})
 	for k, bears := range []int{sharedLimit, sharedLimit / 2, sharedLimit} {
 		r.backend.Bears(bears)
