--- /dev/null
+++ b/cmd/rehearse/cold_service.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"valveglade/rig"
+)
+
+// serviceLog is when each RPC was asked for, and whether it was ok.
+type serviceLog struct {
+	mu  sync.Mutex
+	all []served
+}
+
+type served struct {
+	at time.Time
+	ok bool
+}
+
+// backShare is the share of RPCs that are ok once service is back.
+const backShare = 0.95
+
+func (s *serviceLog) add(at time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(s.all, served{at, ok})
+}
+
+// share is the part of the RPCs asked for within a span that were ok.
+func (s *serviceLog) share(from time.Time, span time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	asked, ok := 0, 0
+	for _, r := range s.all {
+		if r.at.Before(from) || !r.at.Before(from.Add(span)) {
+			continue
+		}
+		asked++
+		if r.ok {
+			ok++
+		}
+	}
+	return float64(ok) / float64(max(asked, 1))
+}
+
+// back is the first time after a boot from which a span's RPCs were ok to backShare.
+func (s *serviceLog) back(boot time.Time, span time.Duration) time.Time {
+	const step, most = 100 * time.Millisecond, time.Minute
+	at := boot
+	for at.Before(boot.Add(most)) && s.share(at, span) < backShare {
+		at = at.Add(step)
+	}
+	return at
+}
+
+// loggedCaller tells the log of each call.
+type loggedCaller struct {
+	rig.Caller
+	log *serviceLog
+}
+
+// Call makes it.
+func (l loggedCaller) Call(ctx context.Context, method, token string, criticality float64, body []byte) ([]byte, error) {
+	began := time.Now()
+	result, err := l.Caller.Call(ctx, method, token, criticality, body)
+	l.log.add(began, err == nil)
+	return result, err
+}
--- a/rig/kernel.go
+++ b/rig/kernel.go
@@ -175,7 +175,7 @@
 			}
 			k.link, k.linkedAt = nc, time.Now()
 			code := "running"
-			if k.warming() {
+			if k.cold && k.coldStart.Window > 0 {
 				code = "starting"
 			}
 			fmt.Fprintf(nc, `{"action":"BOOTED","code":"%s","wall_ms":%d}`+"\n", code, time.Since(k.began).Milliseconds()+1)
