The cold budget holds for any number of callers, any N and any ramp

Causes (TestColdBudget): what is refused at once lets in the next at once, and no bound counted it; N came from runs of two seconds before and from the limit of runs, so it was late while the speed rose, and too large past one run a core; a machine counted as cold by its share of speed, so that startCapacity 1 and an absent ramp gave the warm credit to all callers at its start; RPCs out could wait past the mark and be refused. Change: coldPool counts what has come past N of late (excess, which drains at N a span) and gives half and then less of the pool as it nears 1 + 1.2 roots of N; it lets out no more than what waits for d_t; runs are measured by their time here, at the speed that the settings name for it; cold is a time: the ramp, or one span if that is longer; it is said anew with each event. fallS over 10 s counts as 10 s.

--- a/logic/attempt/attempt.go
+++ b/logic/attempt/attempt.go
@@ -122,8 +122,9 @@
 	creditFor   = 1.0 // seconds for which credit is believed: the platform's own routers do the same
 	// checkedWithin is how many seconds an app server that has not said its credit may take to answer a health check.
 	checkedWithin = 0.5
-	// leastDraw is how many seconds the fraction of a credit stays drawn at the least: tries become slow all at once.
-	leastDraw = 0.25
+	// leastDraw is how many seconds the fraction of a credit stays drawn at the least: an app server that has just come up
+	// learns what it can do from the tries that it gets.
+	leastDraw = 0.05
 	// coldTook is how many seconds a try is taken to take until one was ok at a process, which may be cold.
 	coldTook  = 0.5
 	mostAway  = 60.0 // seconds of advice to stay away that are believed
--- a/logic/health.go
+++ b/logic/health.go
@@ -7,14 +7,12 @@
 
 // Health, and connections that are idle.
 
-// checkHealth says so to health checks while cores are taken and nothing has ended well for two of the
-// tightest latency targets: work that hangs, while reading goes on and draws in more. A fleet that hangs as a
-// whole loses nothing by an empty list. It could harm where most RPCs take longer; the first to end well
-// takes it back.
+// checkHealth says so to health checks while no more can be started and nothing has ended well for two of the
+// tightest latency targets, and for six runs as they are of late: work that hangs, while reading goes on and
+// draws in more. A fleet that hangs as a whole loses nothing by an empty list; the first to end well ends it.
 func (m *Module) checkHealth() {
 	taken := float64(m.count[running]+m.count[orphaned]+m.off()+1) > m.limit
-	usual := m.ranFor / max(m.ran, 1e-9) // of late, 0 long after the last run
-	stuck := taken && m.now-m.well > max(12*m.dt, 6*usual, span)
+	stuck := taken && m.now-m.well > max(12*m.dt, 6*m.ranFor/max(m.ran, 1e-9), span)
 	if stuck != m.stuck && !m.leaving {
 		m.stuck = stuck
 		m.do.Health(!stuck)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,38 +20,37 @@
 // Module decides for one app server.
 type Module struct {
 	rpc.Settings
-	do                  rpc.Actions
-	now, started        float64
-	rpcs                []work
-	count               [states]int
-	queue, waiting      []int // queued RPCs, oldest first; paused ones, longest waiting first
-	kb                  float64
-	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
-	callers             []caller
-	records             []record
-	tenants             []float64 // RPCs of each over the last ten seconds or so
-	arrived, refused    float64   // of late
-	further             float64   // likewise
-	walked              float64   // how old what is refused has been, which others read as further tries
-	dt, threshold       float64   // d_t, and the delay past which arrivals are refused
-	pool, credit, said  float64
-	full                bool // some caller had its full credit out since the last update
-	updated, halved     float64
-	gaps                hist         // for which callers have nothing here between two RPCs
-	reap                float64      // idle connections are closed after it, 0 for never
-	ran, ranFor         float64      // runs that ended ok of late, and their seconds
-	over                float64      // since when the delay has stood past the threshold, 0 if it does not
-	newest              bool         // the queue has stood full for a while
-	limit               float64      // of RPCs on the cores
-	overhead            float64      // what else needs a core, of late: reading, new connections
-	gauge               int          // where that gauge stands, -1 if there is none
-	callLimit, nextCall float64      // calls at a time; when the next past the whole share may start
-	extras              [][2]float64 // from when until when calls past the whole share were out, of late
-	callTook            hist
-	callBest            float64 // the best median of late
-	well                float64 // when a run last ended well, or the first one began
-	stuck, leaving      bool
-	noticed, stop       float64
+	do                        rpc.Actions
+	now, started, kb          float64
+	rpcs                      []work
+	count                     [states]int
+	queue, waiting            []int     // queued RPCs, oldest first; paused ones, longest waiting first
+	keys, lingers             []float64 // ends of remembered tokens, and of abandoned calls
+	callers                   []caller
+	records                   []record
+	tenants                   []float64 // RPCs of each over the last ten seconds or so
+	arrived, refused, further float64   // of late
+	walked                    float64   // how old what is refused has been, which others read as further tries
+	dt, threshold             float64   // d_t, and the delay past which arrivals are refused
+	pool, credit, said        float64
+	full                      bool // some caller had its full credit out since the last update
+	updated, halved           float64
+	gaps                      hist         // for which callers have nothing here between two RPCs
+	reap                      float64      // idle connections are closed after it, 0 for never
+	ran, ranFor               float64      // runs that ended ok of late, and their seconds
+	over                      float64      // since when the delay has stood past the threshold, 0 if it does not
+	excess, excessAt          float64      // arrivals past what is done meanwhile, as of when
+	newest                    bool         // the queue has stood full for a while
+	limit                     float64      // of RPCs on the cores
+	overhead                  float64      // what else needs a core, of late: reading, new connections
+	gauge                     int          // where that gauge stands, -1 if there is none
+	callLimit, nextCall       float64      // calls at a time; when the next past the whole share may start
+	extras                    [][2]float64 // from when until when calls past the whole share were out, of late
+	callTook                  hist
+	callBest                  float64 // the best median of late
+	well                      float64 // when a run last ended well, or the first one began
+	stuck, leaving            bool
+	noticed, stop             float64
 }
 
 // tick is the time between looks at dues, gauges and the pool: 50 a second cost next to nothing. margin is
@@ -62,15 +61,13 @@
 // the mildest meaning that keeps the rules.
 func New(now float64, c rpc.Settings, do rpc.Actions) *Module {
 	m := &Module{Settings: c, do: do, now: now, started: now, updated: now, halved: now, noticed: math.Inf(1)}
-	m.Machine.Cores = max(c.Machine.Cores, 1)
-	m.Machine.RunFactor = max(c.Machine.RunFactor, 1)
-	m.Rules.Crowd, m.Rules.CrowdSpan = max(c.Rules.Crowd, 1), cmp.Or(max(c.Rules.CrowdSpan, 0), 1)
+	m.Machine.Cores, m.Machine.RunFactor = max(c.Machine.Cores, 1), max(c.Machine.RunFactor, 1)
+	m.Rules.Crowd, m.Rules.CrowdSpan = max(c.Rules.Crowd, 1), min(cmp.Or(max(c.Rules.CrowdSpan, 0), 1), 10)
 	m.Machine.Preemption = cmp.Or(c.Machine.Preemption, rpc.Unstoppable)
+	m.Machine.CallsOut = cmp.Or(max(c.Machine.CallsOut, 0), 1)
 	m.Machine.MemoryKB = cmp.Or(max(c.Machine.MemoryKB, 0), math.MaxFloat64) // finite: sums stay numbers
 	if c.Machine.Below != "one_for_all" {
 		m.Machine.CallsOut = math.Inf(1) // no share is set for a tier of app servers
-	} else if c.Machine.CallsOut <= 0 {
-		m.Machine.CallsOut = 1
 	}
 	m.callLimit, m.callBest = m.cores(), math.Inf(1)
 	m.gauge = slices.Index(c.Machine.Gauges, "on_cores")
@@ -84,9 +81,8 @@
 		method.Target = max(cmp.Or(max(method.Target, 0), method.Deadline), leastTarget)
 		tightest = min(tightest, method.Target)
 	}
-	m.dt = tightest / 6                     // a quarter made the incidents worse, an eighth the overload days
-	m.threshold = 2 * m.dt                  // the design's default
-	m.limit, m.said = m.cores(), math.NaN() // the design's default; nothing yet
+	m.dt, m.threshold = tightest/6, tightest/3 // a quarter made the incidents worse, an eighth the overload days
+	m.limit, m.said = m.cores(), math.NaN()    // the design's default; nothing yet
 	m.pool = m.limit * float64(max(c.Machine.Callers, 1)) * m.warmth()
 	for range 16 {
 		m.gaps.add(3) // till more is known: all callers are new at first, so that few look like many
@@ -142,7 +138,7 @@
 		m.gaps.add(now - m.callers[from].idle)
 	}
 	m.records[method].asked++
-	m.arrived++
+	m.arrived, m.excess = m.arrived+1, m.excess+1
 	m.move(i, queued)
 	m.full = m.full || float64(m.callers[from].out) >= m.credit
 	pastGrace := m.leaving && w.arrival > m.noticed+m.Rules.Grace // rule 3: it is not run
@@ -194,7 +190,7 @@
 			r.givenUp = 0 // so they wait longer
 		}
 		r.late.add(took)
-		m.ran, m.ranFor, m.well = m.ran+1, m.ranFor+took, now
+		m.ran, m.ranFor, m.well = m.ran+1, m.ranFor+max(took, now-w.began)*m.warmth(), now
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
--- a/logic/logic_test.go
+++ b/logic/logic_test.go
@@ -826,14 +826,29 @@
 	// Output:
 	// 0.00 health true
 	//   0.00 start 0
+	//   0.00 credit 0.1
 	//   0.00 start 1
+	//   0.00 credit 0.0
 	//   0.00 start 2
-	//   0.22 credit 0.3
 	//   0.46 start 3
 	//   0.50 start 4
-	//   0.66 credit 1.1
-	//   1.10 credit 2.8
-	//   2.20 credit 2.2
+	//   0.50 credit 0.1
+	//   0.58 credit 0.2
+	//   0.60 credit 0.3
+	//   0.62 credit 0.4
+	//   0.66 credit 0.5
+	//   0.68 credit 0.6
+	//   0.70 credit 0.7
+	//   0.72 credit 0.8
+	//   0.74 credit 0.9
+	//   0.80 credit 1.0
+	//   1.02 credit 2.5
+	//   1.08 credit 2.6
+	//   1.30 credit 2.7
+	//   1.56 credit 2.8
+	//   1.90 credit 2.9
+	//   2.02 credit 2.4
+	//   2.36 credit 2.5
 	//   4.18 credit 4.0
 	//   4.50 start 5
 	//   4.50 start 6
--- a/logic/running.go
+++ b/logic/running.go
@@ -21,6 +21,9 @@
 // pump starts queued RPCs while the limits leave room: oldest first, newest first once the queue has stood
 // full for a while.
 func (m *Module) pump() {
+	if m.cold() {
+		m.publish()
+	}
 	for k := 0; k < len(m.queue); {
 		on := m.count[running] + m.count[orphaned]
 		off := m.off()
