--- a/logic/machine_test.go
+++ b/logic/machine_test.go
@@ -92,7 +92,6 @@
 	spare    []int
 	tokens   map[int]*keyEntry
 	lastRun  map[int]float64 // by token, arrival of the try that ran last
-	runs     map[int]int     // by token of a method, how often it ran
 	finished []int           // followers whose outcome is there
 	noticed  float64         // +Inf before the notice
 
--- a/logic/pool.go
+++ b/logic/pool.go
@@ -48,7 +48,7 @@
 
 // coldPool bounds what all callers, those too that may yet come, have out while cold: as what ends lets in
 // the next, a span sees it beside the N runs that end, and past N only some 2*sqrt(N)+2 are borne. What is
-// refused lets in the next too: so it may not wait for over d_t, and shrinks with what has come past N of late.
+// refused lets in the next too: so it may not wait for over d_t, and shrinks with what came past N of late.
 func (m *Module) coldPool() float64 {
 	const prior = 0.2 // of a run that takes all cores for a span, till more is known
 	full := m.cores() * m.Rules.CrowdSpan * max(m.warmth(), 0.01)
