--- a/logic/logic.go
+++ b/logic/logic.go
@@ -20,7 +20,6 @@
 // Module decides for one app server.
 type Module struct {
 	rpc.Settings
-<<<<<<< HEAD
 	do                        rpc.Actions
 	now, started, kb          float64
 	rpcs                      []work
@@ -52,41 +51,6 @@
 	well                      float64 // when a run last ended well, or the first one began
 	stuck, leaving            bool
 	noticed, stop             float64
-=======
-	do                  rpc.Actions
-	now, started        float64
-	rpcs                []work
-	count               [states]int
-	queue, waiting      []int // queued RPCs, oldest first; paused ones, longest waiting first
-	kb                  float64
-	keys, lingers       []float64 // ends of remembered tokens, and of abandoned calls
-	callers             []caller
-	records             []record
-	tenants             []float64 // RPCs of each over the last ten seconds or so
-	halved              float64
-	arrived, refused    float64 // of late
-	further             float64
-	walked              float64 // how old what is refused has been, which others read as further tries
-	dt, threshold       float64 // d_t, and the delay past which arrivals are refused
-	pool, credit, said  float64
-	full                bool // some caller had its full credit out since the last update
-	updated             float64
-	gaps                hist         // for which callers have nothing here between two RPCs
-	reap                float64      // idle connections are closed after it, 0 for never
-	ran, ranFor         float64      // runs that ended ok of late, and their seconds
-	over                float64      // since when the delay has stood past the threshold, 0 if it does not
-	newest              bool         // the queue has stood full for a while
-	limit               float64      // of RPCs on the cores
-	overhead            float64      // what else needs a core, of late: reading, new connections
-	gauge               int          // where that gauge stands, -1 if there is none
-	callLimit, nextCall float64      // calls at a time; when the next past the whole share may start
-	extras              [][2]float64 // from when until when calls past the whole share were out, of late
-	callTook            hist
-	callBest            float64 // the best median of late
-	well                float64 // when a run last ended well, or the first one began
-	stuck, leaving      bool
-	noticed, stop       float64
->>>>>>> main
 }
 
 // tick is the time between looks at dues, gauges and the pool: 50 a second cost next to nothing. margin is
@@ -99,7 +63,6 @@
 	m := &Module{Settings: c, do: do, now: now, started: now, updated: now, halved: now, noticed: math.Inf(1)}
 	m.Machine.Cores, m.Machine.RunFactor = max(c.Machine.Cores, 1), max(c.Machine.RunFactor, 1)
 	m.Rules.Crowd, m.Rules.CrowdSpan = max(c.Rules.Crowd, 1), min(cmp.Or(max(c.Rules.CrowdSpan, 0), 1), 10)
-	m.Machine.Preemption = cmp.Or(c.Machine.Preemption, rpc.Unstoppable)
 	m.Machine.CallsOut = cmp.Or(max(c.Machine.CallsOut, 0), 1)
 	m.Machine.MemoryKB = cmp.Or(max(c.Machine.MemoryKB, 0), math.MaxFloat64) // finite: sums stay numbers
 	if c.Machine.Below != "one_for_all" {
