--- a/logic/attempt/attempt.go
+++ b/logic/attempt/attempt.go
@@ -122,8 +122,9 @@
 	creditLifetime = 1.0 // seconds for which credit is believed: the platform's own routers do the same
 	// firstCheckTimeout is how many seconds an app server that has not reported its credit may take to answer a health check.
 	firstCheckTimeout = 0.5
-	// minRedrawDelay is the least time in seconds between two draws on the fraction of a credit: tries can become slow suddenly.
-	minRedrawDelay = 0.25
+	// minRedrawDelay is the least time in seconds between two draws on the fraction of a credit: an app server that has just come up
+	// learns what it can do from the tries that it gets.
+	minRedrawDelay = 0.05
 	// coldDuration is the assumed duration in seconds of a try at a process that has not served one yet and may be cold.
 	coldDuration    = 0.5
 	maxRetryAfter   = 60.0 // the longest advice to stay away that is followed, in seconds
--- a/rig/kernel_commands.go
+++ b/rig/kernel_commands.go
@@ -89,7 +89,7 @@
 	go link.write()
 	k.link, k.linkedAt = link, time.Now()
 	code := "running"
-	if k.warming() {
+	if k.cold && k.config.Cold.Window > 0 {
 		code = "starting"
 	}
 	k.say(fmt.Sprintf(`{"action":"BOOTED","code":"%s","wall_ms":%d}`, code, time.Since(k.began).Milliseconds()+1))
