While cold no bound by d_t, and the first draw of a fraction after 250 ms

A client took a try for half a second until one was ok, and drew that seldom: a cold machine learnt nothing of itself.

--- a/logic/attempt/attempt.go
+++ b/logic/attempt/attempt.go
@@ -126,7 +126,7 @@
 	// learns what it can do from the tries that it gets.
 	leastDraw = 0.05
 	// coldTook is how many seconds a try is taken to take until one was ok at a process, which may be cold.
-	coldTook  = 0.5
+	coldTook  = 0.25
 	mostAway  = 60.0 // seconds of advice to stay away that are believed
 	firstRest = 0.05 // span before a further try where no advice was given, doubling with each
 	mostRest  = 1.0
--- a/logic/pool.go
+++ b/logic/pool.go
@@ -48,14 +48,14 @@
 
 // coldPool bounds what all callers, those too that may yet come, have out while cold: as what ends lets in
 // the next, a span sees it beside the N runs that end, and past N only some 2*sqrt(N)+2 are borne. What is
-// refused lets in the next too: so it may not wait for over d_t, and shrinks with what came past N of late.
+// refused lets in the next too, at once: so the bound shrinks with what came past N of late.
 func (m *Module) coldPool() float64 {
 	const prior = 0.2 // of a run that takes all cores for a span, till more is known
 	full := m.cores() * m.Rules.CrowdSpan * max(m.warmth(), 0.01)
 	n := full * (m.ran + prior) / (m.ranFor + prior*full)
 	most, each := 1+1.2*math.Sqrt(n), m.Rules.CrowdSpan/n
 	m.excess, m.excessAt = max(m.excess-(m.now-m.excessAt)/each, 0), m.now
-	return min((1+n)/2, most, m.limit+m.dt/each) * max(min(2-2*m.excess/most, 1), 1.0/16)
+	return min((1+n)/2, most) * max(min(2-2*m.excess/most, 1), 1.0/16)
 }
 
 // publish says the free credit, which goes out with every answer, in the terms of the site's signal: as it
