--- a/logic/cold_test.go
+++ b/logic/cold_test.go
@@ -36,6 +36,23 @@
 	}
 }
 
+// Runs whose time is told as less than nothing, or as ages, are not believed: the credit is soon what it would be.
+func TestColdRunTimesOdd(t *testing.T) {
+	for _, took := range []float64{-1e9, 1e300, 0} {
+		d := open(func(c *rpc.Settings) { c.Machine.Cold, c.Rules.WarmIn, c.Rules.CrowdSpan = true, 1000, 1.5 })
+		d.quiet = true
+		for i := range 40 {
+			d.arriveAs(i%4, read, 0, 0, rpc.None)
+			d.pass(0.02)
+			d.m.Ended(d.now, i%4, rpc.OK, took)
+		}
+		d.pass(120)
+		if !(d.credit > 0.1 && d.credit < 10) {
+			t.Errorf("credit %g after runs told to take %g s", d.credit, took)
+		}
+	}
+}
+
 // coldTrial is one cold start under more demand than it can bear.
 type coldTrial struct {
 	callers, told int // that there are, and that the settings say there are
