--- a/logic/logic.go
+++ b/logic/logic.go
@@ -190,7 +190,7 @@
 			r.givenUp = 0 // so they wait longer
 		}
 		r.late.add(took)
-		m.ran, m.ranFor, m.well = m.ran+1, m.ranFor+max(took, now-w.began)*m.warmth(), now
+		m.ran, m.ranFor, m.well = m.ran+1, m.ranFor+max(min(took, 60), now-w.began)*m.warmth(), now
 		if now <= w.asked+m.Methods[w.method].Target {
 			m.records[w.method].ok++
 		}
