--- a/logic/attempt/attempt.go
+++ b/logic/attempt/attempt.go
@@ -126,7 +126,7 @@
 	// learns what it can do from the tries that it gets.
 	minRedrawDelay = 0.05
 	// coldDuration is the assumed duration in seconds of a try at a process that has not served one yet and may be cold.
-	coldDuration    = 0.5
+	coldDuration    = 0.25
 	maxRetryAfter   = 60.0 // the longest advice to stay away that is followed, in seconds
 	firstRetryDelay = 0.05 // seconds before a retry where no advice was given, doubling with each
 	maxRetryDelay   = 1.0
