--- a/server/fleet.go
+++ b/server/fleet.go
@@ -74,11 +74,14 @@
 	var load view.Load
 	loaded := time.Time{}
 	for {
-		if time.Since(loaded) >= loadEvery {
-			load, loaded = s.load(), time.Now()
-		}
-		state := s.fleetState()
-		m.UpdateState(state, state == view.Serving && !s.healthy(), load)
+		s.stopPanic(func() error {
+			if time.Since(loaded) >= loadEvery {
+				load, loaded = s.load(), time.Now()
+			}
+			state := s.fleetState()
+			m.UpdateState(state, state == view.Serving && !s.healthy(), load)
+			return nil
+		})
 		select {
 		case <-all.Done():
 			return nil
@@ -172,7 +175,7 @@
 
 // fleetState is how far the app server has come: at full strength once its kernel is up and has warmed.
 func (s *Server) fleetState() view.State {
-	if at := s.warmAt.Load(); at == 0 || clock() < float64(at)/1e9 {
+	if at := s.warmAt.Load(); at == 0 || s.clock.now() < float64(at)/1e9 {
 		return view.Cold
 	}
 	return view.Serving
--- a/server/listen.go
+++ b/server/listen.go
@@ -37,11 +37,14 @@
 // closes the listener.
 func (s *Server) accept(ctx context.Context, listener *net.TCPListener) error {
 	defer listener.Close()
+	var back heldBack
+	defer back.release()
 	for {
+		back.take()
 		nc, err := listener.AcceptTCP()
 		switch {
 		case err == nil:
-			s.admit(ctx, nc)
+			s.letIn(ctx, nc)
 		case ctx.Err() != nil:
 			return nil
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -50,8 +53,9 @@
 		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept: %w", err) // nobody would ever come in again: no app server that looks well
 		default:
-			s.acceptFailed(err)
-			if !sleep(ctx, 0.01) {
+			if short := s.acceptFailed(err); short && back.held {
+				s.acceptOnHeldBack(ctx, listener, &back)
+			} else if !sleep(ctx, 0.01) {
 				return nil
 			}
 		}
@@ -59,18 +63,28 @@
 }
 
 // acceptFailed makes room where that is what accepting lacks: other parts of the process, and other processes, may have
-// taken descriptors that the configuration allows to this one.
-func (s *Server) acceptFailed(err error) {
+// taken descriptors that the configuration allows to this one. It reports whether that is so and there is no room to be made.
+func (s *Server) acceptFailed(err error) (short bool) {
 	s.limited.Warn("accept", zap.Error(err))
-	if !outOfDescriptors(err) {
-		return
+	return outOfDescriptors(err) && !s.noteShort()
+}
+
+// acceptOnHeldBack turns the next newcomer away, unless there are descriptors again when it comes.
+func (s *Server) acceptOnHeldBack(ctx context.Context, listener *net.TCPListener, back *heldBack) {
+	back.release()
+	defer back.take()
+	if nc, err := listener.AcceptTCP(); err == nil {
+		s.letIn(ctx, nc)
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for range mostGoing {
-		if out, _ := s.leastWanted(); out != nil {
-			out.evict()
-		}
+}
+
+// letIn is admit, guarded against a panic, which costs the one connection.
+func (s *Server) letIn(ctx context.Context, nc net.Conn) {
+	if s.stopPanic(func() error {
+		s.admit(ctx, nc)
+		return nil
+	}) != nil {
+		nc.Close()
 	}
 }
 
@@ -83,10 +97,12 @@
 		why = "connection turned away under pressure"
 	case !s.makeRoom():
 		why = "connection turned away, all others are at work"
+	case s.short():
+		why = "connection turned away, no descriptor is left"
 	}
 	if why != "" {
 		s.limited.Warn(why, zap.Stringer("router", nc.RemoteAddr()))
-		reject(nc) // nothing has been read, so nothing is owed
+		s.turnAway(nc)
 		return
 	}
 	if tcp, ok := nc.(*net.TCPConn); ok {
@@ -94,7 +110,7 @@
 		tcp.SetWriteBuffer(socketBuffer)
 	}
 	c := &conn{Server: s, Conn: nc, open: map[int32]*call{}, used: time.Now(), wake: make(chan struct{}, 1),
-		taken: make(chan struct{}, 1), gone: make(chan struct{})}
+		taken: make(chan struct{}, 1), shutDown: make(chan struct{}), gone: make(chan struct{})}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
@@ -103,7 +119,7 @@
 
 // acceptQueued takes in what the machine has accepted for the listener and nobody has fetched yet. Guards against a close
 // over it: the system would reset those connections, with RPCs on them that count as read. None is waited for, so that what
-// remains is the instant between the last look and the close.
+// remains is the instant between the last look and the close. While newcomers flood in it goes on until the listener is closed.
 func (s *Server) acceptQueued(ctx context.Context, listener *net.TCPListener) {
 	raw, err := listener.SyscallConn()
 	if err != nil {
@@ -127,7 +143,7 @@
 		})
 		switch {
 		case nc != nil:
-			s.admit(ctx, nc)
+			s.letIn(ctx, nc)
 		case err != 0 && err != syscall.EINTR && err != syscall.ECONNABORTED:
 			return
 		}
@@ -230,6 +246,9 @@
 // closeIdle ends what has been idle for as long as the module says, and asks those idle longest to go before the descriptors run
 // out. A router that is in the middle of a message is neither: the reader has a bound for that.
 func (s *Server) closeIdle() {
+	if !descriptorLeft() { // for the kernel link, the roster, a configuration
+		s.noteShort()
+	}
 	s.evictExcess()
 	after := s.gate.Idle()
 	var idle []quiet
@@ -252,7 +271,7 @@
 	if len(s.conns) < s.room()*3/4 {
 		return
 	}
-	slices.SortFunc(idle, func(a, b quiet) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
+	slices.SortFunc(idle, func(a, b quiet) int { return a.since.Compare(b.since) })
 	for _, q := range idle[:max(min(room, len(idle)), 0)] {
 		q.drain()
 	}
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -13,7 +13,7 @@
 	if c.out(seq) {
 		return
 	}
-	now := clock()
+	now, recv := c.clock.arrival(recv, ttl)
 	method, known := c.methods[string(op)]
 	tokened := known && c.tokened(method)
 	switch {
