--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -4,13 +4,16 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
 	"valveglade/config"
+	"valveglade/internal/jsonobject"
 	"valveglade/internal/thrift"
 )
 
@@ -151,6 +154,244 @@
 	// served: <nil>
 }
 
+// Deadlines, and waits that routers tell, may be hours. A wait past the deadline counts as the deadline. A recv that is hours
+// off, as after a clock has been set, is read as it stands: what is old is refused, past the deadline or as it lay unread for
+// long, and what seems to come from the future has just come.
+func Example_farOff() {
+	const hour = 3600
+	t := open(func(c *config.Config) {
+		for k := range c.Rules.Methods {
+			m := &c.Rules.Methods[k]
+			m.Target, m.Deadline, m.Window = 2*hour, 5*hour, 6*hour
+		}
+	})
+	r := t.dial()
+	ago := func(hours float64) string {
+		return fmt.Sprint(time.Now().Add(-time.Duration(hours * hour * float64(time.Second))).UnixMilli())
+	}
+	for seq, pairs := range [][]string{
+		{"ttl", "18000000"}, {"ttl", "99999999999"}, {"recv", ago(-3)},
+		{"ttl", "99999999999", "recv", ago(-24 * 365)}, {"ttl", "18000000.0", "recv", fmt.Sprintf("%.3e", float64(time.Now().UnixMilli()+1e9))},
+	} {
+		seq++
+		r.execute(seq, pairs...)
+		t.asked()
+		t.reap(seq, "fine", "done")
+		r.hear(1)
+	}
+	for seq, pairs := range [][]string{{"recv", ago(4)}, {"ttl", "18000000", "recv", ago(5.5)}, {"recv", "0"}, {"recv", "17"},
+		{"ttl", "99999999999", "recv", "17"}, {"ttl", "-99999999999"}} {
+		r.execute(seq+10, pairs...)
+		r.hear(1)
+	}
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "done" good 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "done" good 1
+	// kernel: SCHED 3 look body 3
+	// router: 3 ok "done" good 1
+	// kernel: SCHED 4 look body 4
+	// router: 4 ok "done" good 1
+	// kernel: SCHED 5 look body 5
+	// router: 5 ok "done" good 1
+	// router: 10 pushed back
+	// router: 11 pushed back
+	// router: 12 pushed back
+	// router: 13 pushed back
+	// router: 14 pushed back
+	// router: 15 pushed back
+	// served: <nil>
+}
+
+// Spans of any length neither overflow nor come to nothing: an idle connection of a deployment that keeps them for ever stays,
+// advice stays positive, and health checks are answered.
+func Example_longSpans() {
+	for _, span := range []float64{-jsonobject.Largest, -1e308, 1e308, math.Inf(1), jsonobject.Largest} {
+		fmt.Println(span, seconds(span) > 0)
+	}
+	t := openPrepared(func(c *config.Config) {
+		c.Rules.Machine.KeepAlive, c.Rules.Rules.WarmIn = jsonobject.Largest, jsonobject.Largest
+		c.Rules.Machine.Below, c.Rules.Machine.Calls = "tier", []bool{false, true}
+		c.Rules.Ceilings.RetryAfter, c.Rules.Ceilings.MaxRetryAfter = true, jsonobject.Largest
+	}, zap.NewNop(), func(s *Server) { s.idle = time.Millisecond })
+	t.cold = true
+	t.linkUp()
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	t.reap(1, "fine", "one")
+	r.hearAll(1)
+	r.execute(2, "op", "record", "dedupe", "t")
+	r.hearAll(1)
+	fmt.Println("warm in the future:", t.warmAt.Load() > time.Now().UnixNano())
+	r.execute(3)
+	t.asked()
+	t.reap(3, "fine", "three")
+	r.hearAll(1)
+	t.close()
+	// Output:
+	// -1e+15 false
+	// -1e+308 false
+	// 1e+308 true
+	// +Inf true
+	// 1e+15 true
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one"
+	// router: 2 pushed back, last true, after 1e+15s
+	// warm in the future: true
+	// kernel: SCHED 3 look body 3
+	// router: 3 ok "three"
+	// served: <nil>
+}
+
+// A site that does not say whether runs may be stopped may not allow it: none is.
+func Example_noPreemption() {
+	t := open(func(c *config.Config) { c.Rules.Machine.Preemption = "" })
+	r := t.dial()
+	r.execute(1)
+	t.asked()
+	r.interrupt(1)
+	r.execute(2)
+	t.asked() // commands come in the order of what they are for
+	t.reap(2, "fine", "two")
+	r.hear(1)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// kernel: SCHED 2 look body 2
+	// router: 2 ok "two" good 1
+	// served: <nil>
+}
+
+// A usual router's connection lives long: now and then an RPC that cannot be run does not end it, as long as the kernel takes
+// others on it for genuine. What only lacks memory is refused as never run, and says nothing about its router; but what may have
+// run is not refused.
+func Example_longLived() {
+	t := open(nil)
+	r := t.dial()
+	counts := map[string]int{}
+	for seq := 1; seq <= 6*mostOdd; seq += 3 {
+		r.execute(seq, "op", "sing")
+		r.execute(seq + 1)
+		if next(t.runs) == "nothing" {
+			break // the connection has ended
+		}
+		fmt.Fprintf(t.kernel, `{"action":"EINVAL","code":"SCHED","uid":"%016x"}`+"\n", seq+1)
+		r.execute(seq + 2)
+		next(t.runs)
+		t.reap(seq+2, "fine", "served")
+		for range 3 {
+			counts[r.next()]++
+		}
+	}
+	fmt.Println(counts)
+	t.close()
+
+	t = open(func(c *config.Config) { c.Memory = heldShare * 3 * callSize / 2 })
+	r, other := t.dial(), t.dial()
+	r.execute(1, "op", "record", "dedupe", "t")
+	t.asked()
+	for seq := 2; seq <= 2*mostOdd; seq++ {
+		r.execute(seq)
+	}
+	r.hear(2*mostOdd - 1)
+	other.execute(20, "op", "record", "dedupe", "t")
+	other.hear(1)
+	t.reap(1, "fine", "one")
+	r.hear(1)
+	other.execute(21, "op", "record", "dedupe", "t")
+	other.hear(1)
+	t.close()
+	// Output:
+	// map[aborted:32 ok:16]
+	// served: <nil>
+	// kernel: SCHED 1 record body of t
+	// router: 2 pushed back
+	// router: 3 pushed back
+	// router: 4 pushed back
+	// router: 5 pushed back
+	// router: 6 pushed back
+	// router: 7 pushed back
+	// router: 8 pushed back
+	// router: 9 pushed back
+	// router: 10 pushed back
+	// router: 11 pushed back
+	// router: 12 pushed back
+	// router: 13 pushed back
+	// router: 14 pushed back
+	// router: 15 pushed back
+	// router: 16 pushed back
+	// router: 20 aborted
+	// router: 1 ok "one" good 1
+	// router: 21 ok "one" good 1
+	// served: <nil>
+}
+
+// next names the next answer.
+func (r *router) next() string {
+	head := make([]byte, 4)
+	if _, err := io.ReadFull(r.in, head); err != nil {
+		return "the connection ends"
+	}
+	frame := make([]byte, thrift.Length(head)-len(head))
+	io.ReadFull(r.in, frame)
+	var name answerName
+	if err := thrift.DecodeAnswer(frame, &name); err != nil {
+		return err.Error()
+	}
+	return string(name)
+}
+
+// answerName is the kind of an answer.
+type answerName string
+
+func (n *answerName) Served(int32, []byte, float64)            { *n = "ok" }
+func (n *answerName) PushedBack(int32, bool, float64, float64) { *n = "pushed back" }
+func (n *answerName) Aborted(int32, string, float64)           { *n = "aborted" }
+func (n *answerName) Checked(int32, bool, float64)             { *n = "checked" }
+func (n *answerName) Draining()                                { *n = "draining" }
+
+// Names of methods of any bytes reach the kernel as they came.
+func Example_methodNames() {
+	names := []string{"a", " ", `"quoted"`, "<&>", "Überweisung 転送", "17", "1e3", "\x00\x7f", "\u2028", strings.Repeat("long ", 100)}
+	t := open(func(c *config.Config) {
+		c.Methods, c.Rules.Methods = names, slices.Repeat(c.Rules.Methods[:1], len(names))
+	})
+	r := t.dial()
+	for k, name := range names {
+		seq := k + 1
+		r.execute(seq, "op", name)
+		fmt.Println(next(t.runs) == strings.TrimSpace(fmt.Sprintf("SCHED %x %s body %d", seq, name, seq)))
+		t.reap(seq, "fine", "done")
+		r.hear(1)
+	}
+	t.close()
+	// Output:
+	// true
+	// router: 1 ok "done" good 1
+	// true
+	// router: 2 ok "done" good 1
+	// true
+	// router: 3 ok "done" good 1
+	// true
+	// router: 4 ok "done" good 1
+	// true
+	// router: 5 ok "done" good 1
+	// true
+	// router: 6 ok "done" good 1
+	// true
+	// router: 7 ok "done" good 1
+	// true
+	// router: 8 ok "done" good 1
+	// true
+	// router: 9 ok "done" good 1
+	// true
+	// router: 10 ok "done" good 1
+	// served: <nil>
+}
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
--- a/server/reader.go
+++ b/server/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"os"
 	"runtime"
 	"time"
@@ -189,7 +190,7 @@
 	if busy {
 		return false, nil
 	}
-	if _, came := c.clock.arrival(k.Recv, longest.Seconds()); !c.turnsAway(k.Seq, method, k.Token, came, size) {
+	if _, came := c.clock.arrival(k.Recv, c.longestWait(method, math.Inf(1))); !c.turnsAway(k.Seq, method, k.Token, came, size) {
 		return false, nil
 	}
 	c.press.came(method, 0)
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -336,8 +336,8 @@
 	r := t.dial()
 	r.execute(1, "op", "sing")
 	r.execute(2, "op", "record")
-	r.execute(3, "recv", "17")
-	r.execute(4, "ttl", "99999999")
+	r.execute(3, "recv", "-17")
+	r.execute(4, "ttl", "1e999")
 	r.execute(5, "heap", "much")
 	r.send(1, "sing", 6, "\x00")
 	r.hear(6)
@@ -584,7 +584,7 @@
 	// served: <nil>
 }
 
-// Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
+// Past the memory for RPCs whose answer is owed the next are refused, until there is room again.
 func Example_memory() {
 	t := open(func(c *config.Config) { c.Memory = heldShare * 3 * callSize / 2 })
 	r := t.dial()
@@ -599,7 +599,7 @@
 	t.close()
 	// Output:
 	// kernel: SCHED 1 look body 1
-	// router: 2 aborted
+	// router: 2 pushed back
 	// router: 1 ok "one" good 1
 	// kernel: SCHED 3 look body 3
 	// served: <nil>
