--- a/server/clock_test.go
+++ b/server/clock_test.go
@@ -27,7 +27,13 @@
 // openStepped opens an app server on such a system.
 func openStepped(change func(c *config.Config)) (*town, *clocks) {
 	s := &clocks{}
-	t := openPrepared(change, zap.NewNop(), func(server *Server) {
+	brief := func(c *config.Config) {
+		c.Stop = 0.3
+		if change != nil {
+			change(c)
+		}
+	}
+	t := openPrepared(brief, zap.NewNop(), func(server *Server) {
 		start := time.Now()
 		server.clock = newClock(func() (wall, steady float64) {
 			return float64(s.now().UnixNano()) / 1e9, time.Since(start).Seconds()
@@ -250,7 +256,7 @@
 	for _, figure := range []float64{0, 1e-300, 1e300, math.MaxFloat64} {
 		town := openPrepared(func(c *config.Config) {
 			c.Rules.Machine.KeepAlive, c.Rules.Rules.WarmIn, c.Rules.Rules.Grace = figure, figure, figure
-			c.Rules.Rules.ColdAt = 0.25
+			c.Stop, c.Rules.Rules.ColdAt = 0.3, 0.25
 			for k := range c.Rules.Methods {
 				m := &c.Rules.Methods[k]
 				m.Target, m.Deadline, m.Window = figure, figure, figure
