--- a/server/conn.go
+++ b/server/conn.go
@@ -54,11 +54,11 @@
 	writing       bool      // an answer is on its way out
 	owing         int64     // bytes of results that wait to be written, or are being written
 	ended         bool      // nobody is there any more
-	mute          bool      // the writer has ended
+	writerEnded   bool      // the writer has ended
 	phase         phase     // changed by move alone
 	partial       bool      // the router is in the middle of a message
 	due           time.Time // when what has come of a message must be whole, zero for never
-	stirred       bool      // the read deadline is not due, but wakes the reader
+	woken         bool      // the read deadline is not due, but wakes the reader
 	evicted       bool      // its descriptor is wanted
 	known         bool      // a whole message has come
 	used          time.Time // last frame either way
@@ -77,13 +77,13 @@
 }
 
 const (
-	mostOpen  = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
-	mostOdd   = 8                       // RPCs of no usual router running, before whoever sends them has to connect again
-	early     = time.Millisecond        // a timer may be early by, as clocks are read one after another
-	stuck     = 10 * time.Second        // a router that does not read for so long has lost its answers
-	whole     = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
-	writeSize = 16 << 10                // answers gathered for one write
-	callSize  = 1 << 10                 // what an RPC takes beside its body, about
+	mostOpen       = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
+	mostOdd        = 8                       // RPCs of no usual router running, before whoever sends them has to connect again
+	timerSlack     = time.Millisecond        // a timer may be early by, as clocks are read one after another
+	writeTimeout   = 10 * time.Second        // a router that does not read for so long has lost its answers
+	messageTimeout = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
+	writeSize      = 16 << 10                // answers gathered for one write
+	callSize       = 1 << 10                 // what an RPC takes beside its body, about
 )
 
 // serve reads and writes until the connection ends.
@@ -134,7 +134,7 @@
 	defer c.mu.Unlock()
 	q = quiet{conn: c, since: c.used, part: c.partial, known: c.known, shut: c.phase == shut, going: c.evicted}
 	if c.partial && !c.due.IsZero() {
-		q.since = c.due.Add(-whole)
+		q.since = c.due.Add(-messageTimeout)
 	}
 	if !c.askedAt.IsZero() {
 		q.asked = time.Since(c.askedAt)
--- a/server/crowd_test.go
+++ b/server/crowd_test.go
@@ -120,7 +120,7 @@
 	next.Sockets = reserve + 3
 	t.adopt(&next)
 	until("room", func() bool { return len(t.connections()) <= 3 })
-	fmt.Println("before silence is overdue:", time.Since(began) < whole/2)
+	fmt.Println("before silence is overdue:", time.Since(began) < messageTimeout/2)
 	t.reap(1, "fine", "one")
 	busy.hear(1)
 	t.close()
--- a/server/end.go
+++ b/server/end.go
@@ -73,9 +73,9 @@
 func (c *conn) settle() {
 	switch {
 	case c.phase == closing && c.rests():
-		c.stirred = true
+		c.woken = true
 		c.SetReadDeadline(past) // the reader alone knows what lies unread
-	case c.phase == ending && (c.mute || c.looked && len(c.open) == 0 && len(c.replies) == 0 && !c.writing):
+	case c.phase == ending && (c.writerEnded || c.looked && len(c.open) == 0 && len(c.replies) == 0 && !c.writing):
 		c.move(shut)
 	}
 }
@@ -152,13 +152,13 @@
 		if half := c.lastAt.Add(c.half); by.IsZero() || half.Before(by) {
 			by = half
 		}
-		if !c.partial || c.evicted || time.Until(by) <= early {
+		if !c.partial || c.evicted || time.Until(by) <= timerSlack {
 			return true
 		}
-	case !c.stirred:
+	case !c.woken:
 		return false
 	}
-	c.stirred = by != c.due
+	c.woken = by != c.due
 	c.SetReadDeadline(by)
 	return false
 }
@@ -169,7 +169,7 @@
 func (u unread) Read(b []byte) (n int, err error) {
 	open, ok := u.Conn.(syscall.Conn)
 	if !ok { // none of the system's
-		u.SetReadDeadline(time.Now().Add(early))
+		u.SetReadDeadline(time.Now().Add(timerSlack))
 		return u.Conn.Read(b)
 	}
 	raw, err := open.SyscallConn()
@@ -252,7 +252,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.phase < ending { // else move has set the bound
-		c.SetWriteDeadline(time.Now().Add(stuck))
+		c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -20,12 +20,12 @@
 	"valveglade/member"
 )
 
-// sayEvery is how often the app server looks whether there is something new to say of itself; a load that has moved is
+// announceEvery is how often the app server looks whether there is something new to say of itself; a load that has moved is
 // said at most as often as loadEvery, since each word goes to every member.
-const sayEvery, loadEvery = 250 * time.Millisecond, 5 * time.Second
+const announceEvery, loadEvery = 250 * time.Millisecond, 5 * time.Second
 
-// partBefore is how long before the stop a leaving app server leaves the fleet: the leave message takes half of it.
-const partBefore = 1.2
+// leaveBefore is how long before the stop a leaving app server leaves the fleet: the leave message takes half of it.
+const leaveBefore = 1.2
 
 // joinFleet makes this app server a member, and has it campaign for roles, where the operators have said so; nil otherwise.
 func (s *Server) joinFleet() (*member.Member, *fleet.Fleet, error) {
@@ -37,11 +37,11 @@
 	if err := settings.CheckAgainst(c); err != nil {
 		return nil, nil, err
 	}
-	terms := view.Defaults()
-	terms.HoldTime, terms.ForgetTime = settings.Hold, settings.Forget
+	viewConfig := view.Defaults()
+	viewConfig.HoldTime, viewConfig.ForgetTime = settings.Hold, settings.Forget
 	m, err := member.New(member.Config{Name: c.Name, Zone: settings.Zone, Listen: settings.Listen, Advertise: settings.Advertise,
 		Join: settings.Join, Allow: settings.Allow, Probe: seconds(settings.Probe), Socket: settings.Socket,
-		Streams: incomingStreams(settings, c), View: terms}, s.log)
+		Streams: incomingStreams(settings, c), View: viewConfig}, s.log)
 	if err != nil {
 		return nil, nil, fmt.Errorf("fleet: %w", err)
 	}
@@ -69,7 +69,7 @@
 		over()
 		return err
 	})
-	every := time.NewTicker(sayEvery)
+	every := time.NewTicker(announceEvery)
 	defer every.Stop()
 	var load view.Load
 	loaded := time.Time{}
@@ -90,7 +90,7 @@
 			if f != nil {
 				f.Leave()
 			}
-			sleep(all, s.config.Load().Stop-partBefore)
+			sleep(all, s.config.Load().Stop-leaveBefore)
 			return nil
 		case <-every.C:
 		}
@@ -128,7 +128,7 @@
 		}
 	}
 	if len(settings.Shares) > 0 {
-		quota, err := f.AddQuota(shareTerms(settings, c), len(c.Methods))
+		quota, err := f.AddQuota(shareConfigs(settings, c), len(c.Methods))
 		if err != nil {
 			return nil, err
 		}
@@ -139,13 +139,13 @@
 	return f, s.distributeConfig(m, f)
 }
 
-// lentFor is for how many leases a grant of a share lasts: through a change of allocator, which takes up to two. Longer, what
+// grantLeases is for how many leases a grant of a share lasts: through a change of allocator, which takes up to two. Longer, what
 // somebody had who died would be missed for longer.
 const grantLeases = 2
 
-// shareTerms puts the shares of the operators' file in the words of those who decide on them. What was begun under a grant goes on
+// shareConfigs puts the shares of the operators' file in the words of those who decide on them. What was begun under a grant goes on
 // for as long as its RPC may take.
-func shareTerms(settings config.Fleet, c *config.Config) []share.Config {
+func shareConfigs(settings config.Fleet, c *config.Config) []share.Config {
 	var all []share.Config
 	for _, one := range settings.Shares {
 		t := share.Config{Name: one.Name, Limit: one.Limit, MinLimit: one.MinLimit, Target: one.Target, Reserved: settings.Reserved, ReservedMembers: settings.ReservedMembers,
@@ -204,7 +204,7 @@
 	fixed := b.Fleet
 	fixed.Shares = s.fleetSettings.Shares
 	if l := s.quota.Load(); l != nil && reflect.DeepEqual(fixed, s.fleetSettings) {
-		if err := l.UpdateLimits(shareTerms(b.Fleet, s.config.Load())); err != nil {
+		if err := l.UpdateLimits(shareConfigs(b.Fleet, s.config.Load())); err != nil {
 			s.log.Warn("settings changed where a restart is needed", zap.Strings("directives", []string{"fleet.share"}), zap.Error(err))
 		}
 		return true
--- a/server/reader.go
+++ b/server/reader.go
@@ -13,9 +13,9 @@
 
 // read takes frames until the connection ends; the end of the connection is no error.
 func (c *conn) read(in *readbuffer.Buffer) error {
-	c.readBy(whole) // silence from the start is half a message too
-	turn := 0       // RPCs since others last had theirs
-	late := false   // what has come of a message was not whole in time
+	c.readBy(messageTimeout) // silence from the start is half a message too
+	turn := 0                // RPCs since others last had theirs
+	late := false            // what has come of a message was not whole in time
 	for timed := true; ; {
 		frame, size, err := thrift.Frame(in.Bytes())
 		if err != nil {
@@ -32,7 +32,7 @@
 			}
 			if !timed && len(in.Bytes()) > 0 {
 				timed = true
-				c.readBy(whole)
+				c.readBy(messageTimeout)
 			}
 			c.inPart(len(in.Bytes()) > 0)
 			switch err := c.fill(in); {
@@ -109,7 +109,7 @@
 		c.due = time.Now().Add(within)
 	}
 	if c.phase < ending {
-		c.stirred = false
+		c.woken = false
 		c.SetReadDeadline(c.due)
 	}
 }
@@ -119,14 +119,14 @@
 func (c *conn) overdue() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.due.IsZero() || time.Until(c.due) > early {
+	if c.due.IsZero() || time.Until(c.due) > timerSlack {
 		return false // only woken
 	}
 	if c.rests() {
 		c.move(closing)
 	} else {
-		c.due = time.Now().Add(whole / 10)
-		c.stirred = true
+		c.due = time.Now().Add(messageTimeout / 10)
+		c.woken = true
 	}
 	return true
 }
@@ -144,7 +144,7 @@
 func (c *conn) takeIn() (ends, full bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.phase < ending && !c.mute && c.answersWait() {
+	for c.phase < ending && !c.writerEnded && c.answersWait() {
 		c.mu.Unlock()
 		<-c.taken
 		c.mu.Lock()
@@ -195,7 +195,7 @@
 	}
 	c.press.came(method, 0)
 	c.rise(k.Seq)
-	c.readBy(whole)
+	c.readBy(messageTimeout)
 	for rest := size; ; {
 		n := min(rest, len(in.Bytes()))
 		in.Take(n)
--- a/server/writer.go
+++ b/server/writer.go
@@ -30,7 +30,7 @@
 func (c *conn) write(ctx context.Context) error {
 	defer func() {
 		c.mu.Lock()
-		c.mute = true
+		c.writerEnded = true
 		c.settle()
 		c.mu.Unlock()
 		signal(c.taken)
