--- a/server/owed_test.go
+++ b/server/owed_test.go
@@ -222,3 +222,29 @@
 	// router: the end, after 0 bytes
 	// served: <nil>
 }
+
+// The descriptor of a connection is wanted while messages of no usual router lie unread on it: what was read is answered before the
+// descriptor is given back.
+func Example_evictedAtFault() {
+	t := open(nil)
+	r, c, g := t.gatedRouter()
+	t.rest(r, c, g)
+	for seq := 2; seq < mostOpen; seq++ {
+		r.execute(seq, "op", "record", "dedupe", fmt.Sprint(seq))
+	}
+	r.execute(2)
+	fmt.Println("evicted:", c.evict())
+	g.free()
+	answers := map[int]int{}
+	for seq := r.answered(); seq != 0; seq = r.answered() {
+		answers[seq]++
+	}
+	fmt.Println("answered:", len(answers) == mostOpen-2)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 look body 1
+	// router: 1 ok "one" good 1
+	// evicted: true
+	// answered: true
+	// served: <nil>
+}
