An evicted connection is closed only once what is owed on it is written

Cause: readOn() skipped its wait for the shutdown where the descriptor was wanted (evicted), whatever the phase; after a fault the aborted RPCs' answers were still queued then.

--- a/server/end.go
+++ b/server/end.go
@@ -259,12 +259,15 @@
 // readOn reads a shut connection to its end, within bounds, and takes nothing in. Before it is shut, nothing more is read.
 func (c *conn) readOn() {
 	c.mu.Lock()
-	skip := c.phase < ending || c.evicted // the router has ended it, or there is no time
+	gone, evicted := c.phase < ending, c.evicted
 	c.mu.Unlock()
-	if skip {
+	if gone { // the router has ended it
 		return
 	}
 	<-c.shutDown // a connection that ends has a bound for its last write
+	if evicted { // there is no time
+		return
+	}
 	buf := make([]byte, 4<<10)
 	for size := 0; size < lingerSize; {
 		n, err := c.Read(buf)
