--- a/server/clock.go
+++ b/server/clock.go
@@ -25,6 +25,8 @@
 	// stepped is by how much the system's clock has to be off for it to have been set: a clock that is steered gains or loses less
 	// than a thousandth.
 	stepped = 0.05
+	// steered is by how much a clock that is steered may be off before that counts: RPCs marked alike are to come alike.
+	steered = 0.001
 	// earliest is how far ahead of the clock an RPC may have come: marks are whole milliseconds, and clocks are read one after another.
 	earliest = 0.05
 )
@@ -67,10 +69,13 @@
 func (c *clock) observe(lead float64) [maxLeads]float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if math.Abs(lead-c.leads[0]) > stepped {
+	off := math.Abs(lead - c.leads[0])
+	if off > stepped {
 		copy(c.leads[1:maxLeads-1], c.leads[:]) // the last one stays: none
 	}
-	c.leads[0] = lead
+	if off > steered {
+		c.leads[0] = lead
+	}
 	return c.leads
 }
 
--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -168,7 +168,9 @@
 		}
 	})
 	r := t.dial()
-	ago := func(hours float64) string { return fmt.Sprint(time.Now().Add(-seconds(hours * hour)).UnixMilli()) }
+	ago := func(hours float64) string {
+		return fmt.Sprint(time.Now().Add(-time.Duration(hours * hour * float64(time.Second))).UnixMilli())
+	}
 	for seq, pairs := range [][]string{
 		{"ttl", "18000000"}, {"ttl", "99999999999"}, {"recv", ago(-3)},
 		{"ttl", "99999999999", "recv", ago(-24 * 365)}, {"ttl", "18000000.0", "recv", fmt.Sprintf("%.3e", float64(time.Now().UnixMilli()+1e9))},
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -13,7 +13,6 @@
 	if c.out(seq) {
 		return
 	}
-	now, recv := c.clock.arrival(recv, ttl)
 	method, known := c.methods[string(op)]
 	tokened := known && c.tokened(method)
 	switch {
@@ -28,6 +27,7 @@
 		c.refuse(seq, true) // no app server of this build can call, so no try of it has run either
 		return
 	}
+	now, recv := c.clock.arrival(recv, c.longestWait(method, ttl))
 	if c.press.on.Load() {
 		c.press.came(method, min(max(now-recv, 0), mostLag))
 		if c.turnsAway(seq, method, dedupe, recv, len(body)) {
@@ -107,18 +107,15 @@
 // givenUpAt is when an RPC's client gives up, 0 where its router does not tell: then the module goes by the method's deadline. No
 // client waits longer than that, whatever the router says.
 func (c *conn) givenUpAt(method int, now, recv, ttl float64) float64 {
-	deadline := c.config.Load().Rules.Methods[method].Deadline
-	told := !math.IsInf(ttl, 1)
-	switch {
-	case deadline > 0 && !told:
-		return 0
-	case deadline > 0:
-		ttl = min(ttl, deadline)
+	wait := c.longestWait(method, ttl)
+	switch told := !math.IsInf(ttl, 1); {
+	case !told && math.IsInf(wait, 1):
+		wait = unknownWait
 	case !told:
-		ttl = unknownWait
+		return 0
 	}
 	const someTime = 1 // a router that tells of a time long ago has told all the same
-	return max(min(recv, now)+ttl, someTime)
+	return max(min(recv, now)+wait, someTime)
 }
 
 // usedTwice is a number that two RPCs of one connection came under.
