--- a/server/fields_test.go
+++ b/server/fields_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"slices"
 	"strings"
+	"testing"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,6 +16,7 @@
 	"valveglade/config"
 	"valveglade/internal/jsonobject"
 	"valveglade/internal/thrift"
+	"valveglade/rpc"
 )
 
 // printedAnswer prints an answer with all that a router may go by, but for the credit.
@@ -394,6 +396,26 @@
 	// served: <nil>
 }
 
+// When a client gives up: the shorter of what its router tells and of the method's deadline, from recv but never from the future;
+// 0, for the module to go by the deadline, where the router does not tell; an hour where nobody does.
+func TestGivenUpAt(t *testing.T) {
+	const now, untold = 1e9, 0.0
+	c := &conn{Server: &Server{}}
+	c.config.Store(&config.Config{Rules: rpc.Settings{Methods: []rpc.Method{{}, {Deadline: 12}, {Deadline: 7200}}}})
+	for _, one := range []struct {
+		method          int
+		recv, ttl, want float64
+	}{
+		{0, now, math.Inf(1), now + unknownWait}, {0, now, 7200, now + 7200}, {0, now, 0, now},
+		{1, now, math.Inf(1), untold}, {1, now - 1, 5, now + 4}, {1, now - 1, 7200, now + 11}, {1, now + 90, 5, now + 5},
+		{1, now, -5, now - 5}, {1, 0.017, 0.48, 1}, {2, now, 7000, now + 7000}, {2, now, 1e12, now + 7200},
+	} {
+		if at := c.givenUpAt(one.method, now, one.recv, one.ttl); at != one.want {
+			t.Errorf("%+v: %f", one, at)
+		}
+	}
+}
+
 // executeWithout is execute without one of the usual fields.
 func (r *router) executeWithout(left string, seq int, pairs ...string) {
 	usual := []string{"op", "look", "call", fmt.Sprintf("%016x", seq), "src", "1", "recv",
