--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -107,18 +107,15 @@
 // givenUpAt is when an RPC's client gives up, 0 where its router does not tell: then the module goes by the method's deadline. No
 // client waits longer than that, whatever the router says.
 func (c *conn) givenUpAt(method int, now, recv, ttl float64) float64 {
-	deadline := c.config.Load().Rules.Methods[method].Deadline
-	told := !math.IsInf(ttl, 1)
-	switch {
-	case deadline > 0 && !told:
-		return 0
-	case deadline > 0:
-		ttl = min(ttl, deadline)
+	wait := c.longestWait(method, ttl)
+	switch told := !math.IsInf(ttl, 1); {
+	case !told && math.IsInf(wait, 1):
+		wait = unknownWait
 	case !told:
-		ttl = unknownWait
+		return 0
 	}
 	const someTime = 1 // a router that tells of a time long ago has told all the same
-	return max(min(recv, now)+ttl, someTime)
+	return max(min(recv, now)+wait, someTime)
 }
 
 // usedTwice is a number that two RPCs of one connection came under.
