--- a/cmd/rehearse/cold.go
+++ b/cmd/rehearse/cold.go
@@ -89,9 +89,9 @@
 	return c.warm + c.outage + c.start.SlowStart() + coldRecovery + c.judged()
 }
 
-// judged is how long a span is taken to judge service by: at least some 15 RPCs.
+// judged is how long a span is taken to judge service by: at least some 30 RPCs, of which one may fail.
 func (c coldPlan) judged() time.Duration {
-	const enough = 15
+	const enough = 30
 	return max(time.Second, time.Duration(enough/c.rate*float64(time.Second)))
 }
 
@@ -154,9 +154,9 @@
 			return err
 		}
 		p.say("%-20s %d of %d restart at %.2f, warm after %.1f s, N %.1f in %.2f s, %.0f RPCs a second: ratio %.2f at %.1f s (%.2f by count), "+
-			"back after %.1f s, ok %.2f", kind.name, plan.cold, coldServers, plan.start.Capacity, plan.start.Ramp.Seconds(), plan.first,
+			"back after %.1f s, ok %.2f, at the end %.2f", kind.name, plan.cold, coldServers, plan.start.Capacity, plan.start.Ramp.Seconds(), plan.first,
 			plan.start.Window.Seconds(), plan.rate, side.peak.ByWork, side.peak.Age.Seconds(), side.peak.ByCount, side.back,
-			float64(side.out.OK)/float64(side.out.Asked))
+			float64(side.out.OK)/float64(side.out.Asked), side.end)
 		ratio = max(ratio, side.peak.ByWork)
 		late = max(late, side.back-(plan.start.SlowStart()+coldRecovery).Seconds())
 		end = min(end, side.end)
