Settings are read above the vocabulary; an empty rank is no rank

Cause of the rank: internal/thrift/thrift.go took a field of no bytes for one left out (len(crit) > 0), so that an RPC with 'crit' empty, a figure out of range, was run. Wording of one error of simhost follows the parser.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -4,12 +4,12 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"os"
 
+	"valveglade/internal/settings"
 	"valveglade/logic"
 	"valveglade/rpc"
 	"valveglade/wire"
@@ -67,10 +67,9 @@
 // Hello starts an instance. Settings that cannot be read, or that the module has no meaning for, end it with the key named; the
 // others go on.
 func (h *host) Hello(who uint32, _ uint64, params []byte) {
-	var settings rpc.Settings
-	err := json.Unmarshal(params, &settings)
+	deployment, err := settings.Parse(params)
 	if err == nil {
-		err = settings.Check()
+		err = deployment.Check()
 	}
 	if err != nil {
 		delete(h.guests, who)
@@ -79,7 +78,7 @@
 	}
 	g := &guest{host: h, who: who, index: map[uint64]int{}, callers: map[uint16]int{}}
 	h.guests[who] = g
-	g.module = logic.New(h.now, settings, g)
+	g.module = logic.New(h.now, deployment, g)
 }
 
 // Unknown events disturb nobody; one line tells of the first.
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -70,7 +70,7 @@
 	run(hello(3, "{"), hello(4, good), batch("", "6300000003", "0200000004000a4b7f5d3a91c5", "0200000003000a4b7f5d3a91c6"))
 	run(batch("")[:20])
 	// Output:
-	// 15 settings: unexpected end of JSON input
+	// 15 settings: not a JSON object: unexpected end of JSON input
 	// 15 settings: domain.nCores: a JSON string where a number is wanted
 	// 15 settings: domain.signal: "shouts" is not known
 	// 15 settings: domain.preemption: "maybe" is not known
--- a/config/config.go
+++ b/config/config.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"valveglade/internal/jsonobject"
+	"valveglade/internal/settings"
 	"valveglade/rpc"
 )
 
@@ -71,7 +72,7 @@
 	c := &Config{Name: name}
 	top.Text("name", &c.Name)
 	c.readLimits(top)
-	c.Rules, c.Methods = rpc.ReadServed(top.Object("settings"))
+	c.Rules, c.Methods = settings.Read(top.Object("settings"))
 	top.Text("listen", &listen)
 	c.Listen = readAddrPort(top, "listen", listen)
 	c.Kernel = readAddrPort(top, "kernel", "")
--- a/rpc/read.go
+++ b/internal/settings/settings.go
@@ -1,30 +1,32 @@
-package rpc
+// Package settings reads the deployment's settings out of a JSON object, in the names of the simulator's wire.
+package settings
 
 import (
 	"valveglade/internal/jsonobject"
+	"valveglade/rpc"
 )
 
 // unknownWindow is for how many seconds tokens are remembered where neither a window nor a deadline is told: longer than
 // clients go on asking.
 const unknownWindow = 3600
 
-// UnmarshalJSON reads all settings, as the simulator's wire carries them.
-func (s *Settings) UnmarshalJSON(text []byte) error {
+// Parse reads all settings, as the simulator's wire carries them.
+func Parse(text []byte) (rpc.Settings, error) {
 	o, err := jsonobject.Parse(text)
 	if err != nil {
-		return err
+		return rpc.Settings{}, err
 	}
-	*s, _ = ReadServed(o)
-	s.readCalls(o.Object("domain"))
-	s.readSharing(o)
-	return o.Err()
+	s, _ := Read(o)
+	readCalls(&s.Machine, o.Object("domain"))
+	readSharing(&s, o)
+	return s, o.Err()
 }
 
-// ReadServed reads the settings that an app server on sockets goes by, and its methods' names; the object's Err tells what is
+// Read reads the settings that an app server on sockets goes by, and its methods' names; the object's Err tells what is
 // wrong with them. What is left out, or null, gets the mildest meaning that keeps the rules, here or in the module.
-func ReadServed(o *jsonobject.Object) (s Settings, names []string) {
-	names = s.readMethods(o)
-	s.readMachine(o.Object("domain"))
+func Read(o *jsonobject.Object) (s rpc.Settings, names []string) {
+	s.Methods, names = readMethods(o)
+	readMachine(&s.Machine, o.Object("domain"))
 	rules := o.Object("rules")
 	rules.Number("overloadFactor", &s.Rules.Crowd)
 	rules.Number("stopSendingWithinS", &s.Rules.Grace)
@@ -38,9 +40,9 @@
 	return s, names
 }
 
-func (s *Settings) readMethods(o *jsonobject.Object) (names []string) {
+func readMethods(o *jsonobject.Object) (methods []rpc.Method, names []string) {
 	for profile := range o.Objects("profiles") {
-		var m Method
+		var m rpc.Method
 		name, kind := "", ""
 		profile.Text("name", &name)
 		profile.Text("idempotency", &kind)
@@ -49,30 +51,29 @@
 		profile.Number("windowS", &m.Window)
 		profile.Number("worth", &m.Criticality)
 		profile.Number("lateWorth", &m.LateShare)
-		m.Kind = Kind(kind)
-		if m.Kind == Tokened && m.Window == 0 {
-			m.Window = m.longestWait()
+		m.Kind = rpc.Kind(kind)
+		if m.Kind == rpc.Tokened && m.Window == 0 {
+			m.Window = longestWait(m)
 		}
-		s.Methods = append(s.Methods, m)
+		methods = append(methods, m)
 		names = append(names, name)
 	}
-	return names
+	return methods, names
 }
 
-// longestWait is for how many seconds clients ask for one RPC of the method again, at the most.
-func (m *Method) longestWait() float64 {
+// longestWait is for how many seconds clients ask for one RPC of a method again, at the most.
+func longestWait(m rpc.Method) float64 {
 	if m.Deadline > 0 {
 		return m.Deadline
 	}
 	return max(unknownWindow, m.Target)
 }
 
-func (s *Settings) readMachine(domain *jsonobject.Object) {
-	m := &s.Machine
-	preemption, signal := string(Unstoppable), "none"
+func readMachine(m *rpc.Machine, domain *jsonobject.Object) {
+	preemption, signal := string(rpc.Unstoppable), "none"
 	domain.Text("preemption", &preemption)
 	domain.Text("signal", &signal)
-	m.Preemption, m.Signal, m.Below = Preemption(preemption), Signal(signal), "none"
+	m.Preemption, m.Signal, m.Below = rpc.Preemption(preemption), rpc.Signal(signal), "none"
 	domain.Text("below", &m.Below)
 	if m.Below != "none" {
 		m.Calls = domain.Flags("callsByClass")
@@ -87,8 +88,7 @@
 }
 
 // readCalls reads what matters only where calls to the layer below are made, or the machine's start is told with the settings.
-func (s *Settings) readCalls(domain *jsonobject.Object) {
-	m := &s.Machine
+func readCalls(m *rpc.Machine, domain *jsonobject.Object) {
 	m.Calls, m.SkipWorth = domain.Flags("callsByClass"), domain.Numbers("classSkipWorth")
 	domain.Number("callsOut", &m.CallsOut)
 	domain.Number("shareSpanS", &m.CallsSpan)
@@ -97,9 +97,9 @@
 }
 
 // readSharing reads what matters only where RPCs tell their tenant and what they read about.
-func (s *Settings) readSharing(o *jsonobject.Object) {
+func readSharing(s *rpc.Settings, o *jsonobject.Object) {
 	for account := range o.Objects("accounts") {
-		var t Tenant
+		var t rpc.Tenant
 		account.Number("quotaRps", &t.Quota)
 		s.Tenants = append(s.Tenants, t)
 	}
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -213,7 +213,7 @@
 		to.Unreadable(seq, "ttl")
 	case !okHeap || size <= 0 || size >= mostHeap:
 		to.Unreadable(seq, "heap")
-	case len(crit) > 0 && (!okCrit || rank < 0 || rank >= 1):
+	case crit != nil && (!okCrit || rank < 0 || rank >= 1):
 		to.Unreadable(seq, "crit")
 	case len(dedupe) > mostToken:
 		to.Unreadable(seq, "dedupe")
