--- a/cmd/rehearse/owner.go
+++ b/cmd/rehearse/owner.go
@@ -4,27 +4,25 @@
 	"errors"
 	"fmt"
 	"math"
-	"os"
 	"os/exec"
 	"slices"
 	"strings"
 	"sync"
 	"time"
 
-	"valveglade/member"
 	"valveglade/rig"
 )
 
-// The lease of an experiment, and for how long after its last order somebody still counts as the owner there.
-const experimentLease, lately = time.Second, 200 * time.Millisecond
+// The lease of an experiment, and for how long after its last order a process still counts as the owner.
+const experimentLease, ownerWindow = time.Second, 200 * time.Millisecond
 
-// court is some processes among which there are owners, and the workers that take their orders.
-type court struct {
+// roleCluster is a cluster of processes of which some own roles, and the workers that carry out their orders.
+type roleCluster struct {
 	*rig.Cluster
 	workers []*rig.Worker // of each role
 }
 
-func (c *court) close() {
+func (c *roleCluster) close() {
 	if c == nil {
 		return
 	}
@@ -34,10 +32,10 @@
 	}
 }
 
-// convene starts one: as is the program, with two roles; the same with the fleet off; the lowest name of each view as the
-// owner; or such processes as campaign by clocks that drift, at the bound.
-func (p *play) convene(kind string, n int) (*court, error) {
-	c := &court{}
+// startRoleCluster starts a cluster of a kind: "on" is the program with two roles, "off" the same with the fleet off, "lowest" has
+// the lowest name of each view as the owner, and in "drifting" processes campaign by clocks that drift, at the bound.
+func (p *play) startRoleCluster(kind string, n int) (*roleCluster, error) {
+	c := &roleCluster{}
 	for range 2 {
 		w, err := rig.NewWorker(kind != "lowest", rig.NewHistory())
 		if err != nil {
@@ -70,14 +68,15 @@
 	return c, err
 }
 
-// rehearsedDrift is far more than clocks do.
+// experimentDrift is the bound on how far clocks drift apart: far more than real ones do.
 const experimentDrift = 0.2
 
-// taken waits for an owner of the first role that is not a given one, and gives how long that took.
-func (c *court) taken(not string) (string, float64) {
+// awaitOwner waits for an owner of the first role other than a given one. It returns the owner and the seconds that this took, or
+// +Inf if there is none in time.
+func (c *roleCluster) awaitOwner(not string) (string, float64) {
 	who := ""
 	took, ok := c.Until(15*time.Second, func() bool {
-		who = c.workers[0].Owner(lately)
+		who = c.workers[0].Owner(ownerWindow)
 		return who != "" && who != not
 	})
 	if !ok {
@@ -86,222 +85,110 @@
 	return who, took
 }
 
+// ownerTrial is the state of the experiment on roles.
+type ownerTrial struct {
+	*play
+	names                     []string
+	on, off, lowest, drifting *roleCluster
+	owner                     string  // of the first role in on
+	worst                     float64 // the longest time to a new owner, in seconds
+	errOn, errOff             error
+	errLowest, errDrifting    error
+	served                    map[*roleCluster]map[string]rig.Outcome
+}
+
 // playOwner is the experiment on roles: the owner killed, stopped past its lease with a command in its hands, cut off, left
-// without a majority, drained, while voters are slow, late, dead or without a disk; beside it the same by clocks that drift,
+// without a majority, drained, while voters are slow, late, dead or without a disk. The baselines are the same by clocks that drift,
 // processes where the lowest name of the view is the owner, and the same load with the fleet off.
 func playOwner(p *play) error {
-	const n = 5
-	all := names(n)
-	kinds := []string{"on", "off", "lowest", "drifting"}
-	courts := make([]*court, len(kinds))
-	errs := make([]error, len(kinds))
-	var group sync.WaitGroup
-	for k, kind := range kinds {
-		group.Go(func() { courts[k], errs[k] = p.convene(kind, n) })
-	}
-	group.Wait()
-	for _, c := range courts {
-		defer c.close()
-	}
-	if err := errors.Join(errs...); err != nil {
+	t := &ownerTrial{play: p, names: names(5), served: map[*roleCluster]map[string]rig.Outcome{}}
+	err := t.start()
+	defer t.close()
+	if err != nil {
 		return err
 	}
-	on, off, low, drifting := courts[0], courts[1], courts[2], courts[3]
-	worker := on.workers[0]
-	owner, took := on.taken("")
+	var took float64
+	t.owner, took = t.on.awaitOwner("")
 	p.atMost("first.owner.s", took, 10)
-	p.untilAlike(on.Cluster, 10*time.Second, n, all)
-	p.untilAlike(low.Cluster, 10*time.Second, n, all)
+	p.untilAlike(t.on.Cluster, 10*time.Second, len(t.names), t.names)
+	p.untilAlike(t.lowest.Cluster, 10*time.Second, len(t.names), t.names)
 
-	length := p.span(33 * time.Second)
-	served := map[*court]map[string]rig.Outcome{}
-	var mu sync.Mutex
-	var loads, beside sync.WaitGroup
-	for _, c := range []*court{on, off} {
-		loads.Go(func() {
-			out := p.load(c.Cluster, length, 20, all)
-			mu.Lock()
-			served[c] = out
-			mu.Unlock()
-		})
-	}
-	beside.Go(func() { // the same is done to the lowest name, n1
-		errs[2] = low.Run("5s stop n1\n9s cont n1\n11s split n1,n2|n3,n4,n5\n16s heal")
+	var loads, baselines sync.WaitGroup
+	t.startLoads(&loads)
+	baselines.Go(func() { // the same is done to the lowest name, n1
+		t.errLowest = t.lowest.Run("5s stop n1\n9s cont n1\n11s split n1,n2|n3,n4,n5\n16s heal")
 	})
-	beside.Go(func() { errs[3] = p.drift(drifting) })
-	// Whatever is done to a process is done to the same one where the fleet is off.
-	do := func(script string) {
-		var both sync.WaitGroup
-		both.Go(func() { errs[1] = errors.Join(errs[1], off.Run(script)) })
-		errs[0] = errors.Join(errs[0], on.Run(script))
-		both.Wait()
-	}
-	if err := p.calm(on, off, all, owner); err != nil {
+	baselines.Go(func() { t.errDrifting = p.drift(t.drifting) })
+	if err := p.undisturbed(t.on, t.off, t.names, t.owner); err != nil {
 		return err
 	}
-	worst := 0.0
-	next := func(how string) {
-		who, took := on.taken(owner)
-		p.inform("new.owner.s."+how, took)
-		worst = max(worst, took)
-		owner = who
-	}
-	// Messages are doubled, and some come over several terms too late. Three times the owner is stopped past its lease, in the
-	// middle of its orders: that one is in its hands is left to chance.
-	others := func() []string {
-		return slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == owner })
-	}
-	errs[0] = errors.Join(errs[0], on.Run(fmt.Sprintf("0s double *>* 30%%\n0s mute %s>* 2500ms", others()[0])))
-	for range 3 {
-		if owner == "" {
-			break
-		}
-		sleeper := owner
-		do("0s stop " + sleeper)
-		next("stopped")
-		time.Sleep(2 * experimentLease)
-		do("0s cont " + sleeper)
-		time.Sleep(experimentLease / 2)
-	}
-	on.Run("0s heal")
-	// Killed, while a voter's disk fails; and started again.
-	victim, spoilt := owner, others()[0]
-	folder := on.Folder(spoilt)
-	if err := os.Rename(folder, folder+".away"); err != nil {
+	t.stopOwners()
+	if err := t.killOwner(); err != nil {
 		return err
 	}
-	do("0s kill " + victim)
-	next("killed")
-	do("0s start " + victim)
-	if err := os.Rename(folder+".away", folder); err != nil {
-		return err
-	}
-	// Cut off one way: it speaks and does not hear; it hears and does not speak.
-	on.Run("0s cut *>" + owner)
-	next("deaf")
-	on.Run("0s heal")
-	on.Run("0s cut " + owner + ">*")
-	next("unheard")
-	on.Run("0s heal")
-	// Without a majority there is no owner; with it back there is one within two leases.
-	for _, name := range all[:3] {
-		do("0s stop " + name)
-	}
-	time.Sleep(3 * experimentLease / 2)
-	lost := time.Now()
-	time.Sleep(experimentLease)
-	p.exactly("orders.without.majority", float64(len(worker.Orders(lost))), 0)
-	for _, name := range all[:3] {
-		do("0s cont " + name)
-	}
-	owner, took = on.taken("")
-	p.atMost("back.with.majority.s", took, 2*experimentLease.Seconds())
-	// Drained, as a voter dies.
-	do("0s kill " + others()[0])
-	do("0s notice " + owner)
-	_, took = on.taken(owner)
-	p.atMost("handover.drain.s", took, 1)
-	p.atMost("new.owner.max.s", worst, 2*experimentLease.Seconds())
+	t.cutOwnerOff()
+	t.takeMajority()
+	t.drainOwner()
+	p.atMost("new.owner.max.s", t.worst, 2*experimentLease.Seconds())
 	loads.Wait()
-	beside.Wait()
-	if err := errors.Join(errs...); err != nil {
+	baselines.Wait()
+	if err := errors.Join(t.errOn, t.errOff, t.errLowest, t.errDrifting); err != nil {
 		return err
 	}
-	p.atLeast("late.refused", float64(worker.Refused()), 1)
-	for k, role := range []string{"", ".second"} {
-		j := rig.NewVerdict(on.workers[k].Orders(time.Time{}), experimentLease)
-		p.say("role %d: %v", k+1, j)
-		p.atMost("owners.at.once"+role, float64(j.AtOnce), 1)
-		p.exactly("late.effects"+role, float64(j.LateEffects), 0)
-		p.exactly("terms.falling"+role, float64(j.FallingTerms+j.SharedTerms), 0)
-	}
-	p.exactly("work.overlap.s", rig.Overlap(on.History.LeadershipIntervals()), 0)
-	l := rig.NewVerdict(low.workers[0].Orders(time.Time{}), experimentLease)
-	p.say("lowest name: %v", l)
-	p.atLeast("owners.at.once.lowest", float64(l.AtOnce), 2)
-	p.atLeast("late.effects.lowest", float64(l.LateEffects), 1)
-	p.inform("service.on", service(served[on], all))
-	p.atLeast("service.of.off", service(served[on], all)/service(served[off], all), 0.98)
-	p.violations(on.Cluster, off.Cluster)
-	return p.keep(on.Cluster)
+	t.verdicts()
+	p.violations(t.on.Cluster, t.off.Cluster)
+	return p.keep(t.on.Cluster)
 }
 
-// calm is when nothing happens to the owner: first nothing at all, then messages are lost, one voter is slow and one answers
-// later than a lease. What it costs is measured in the first part.
-func (p *play) calm(on, off *court, all []string, owner string) error {
-	span := 4 * time.Second
-	if p.Long {
-		span = time.Minute
-	}
-	began := time.Now()
-	before, err := member.ReadStatus(on.Socket("n1"))
-	if err != nil {
-		return err
-	}
-	used := map[*court]time.Duration{}
-	cpu := func(c *court) (sum time.Duration) {
-		for _, name := range all {
-			sum += c.CPU(name)
-		}
-		return sum
-	}
-	for _, c := range []*court{on, off} {
-		used[c] = cpu(c)
-	}
-	time.Sleep(span)
-	after, err := member.ReadStatus(on.Socket("n1"))
-	if err != nil {
-		return err
-	}
-	p.inform("cpu.on.top.share", (cpu(on)-used[on]-cpu(off)+used[off]).Seconds()/span.Seconds()/float64(len(all)))
-	p.inform("bytes.s", float64(after.Bytes[0]+after.Bytes[1]-before.Bytes[0]-before.Bytes[1])/span.Seconds())
-	p.inform("packets.s", float64(after.Packets[0]-before.Packets[0])/span.Seconds())
-	resident := 0.0
-	for _, name := range all {
-		resident += float64(on.Node(name).Resident()-off.Node(name).Resident()) / 1e6 / float64(len(all))
-	}
-	p.inform("resident.on.top.mb", resident)
-	rest := slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == owner || s == on.workers[1].Owner(lately) })
-	if err := on.Run(fmt.Sprintf("0s loss *>* 10%%\n0s mute %s>* 500ms\n0s mute %s>* 1500ms\n4s heal", rest[0], rest[1])); err != nil {
-		return err
+// start starts the clusters, all at the same time.
+func (t *ownerTrial) start() error {
+	var group sync.WaitGroup
+	errs := make([]error, 4)
+	for k, one := range []struct {
+		kind string
+		c    **roleCluster
+	}{{"on", &t.on}, {"off", &t.off}, {"lowest", &t.lowest}, {"drifting", &t.drifting}} {
+		group.Go(func() { *one.c, errs[k] = t.startRoleCluster(one.kind, len(t.names)) })
 	}
-	changes := 0
-	for _, w := range on.workers {
-		changes += rig.NewVerdict(w.Orders(began), time.Minute).Changes
+	group.Wait()
+	return errors.Join(errs...)
+}
+
+func (t *ownerTrial) close() {
+	for _, c := range []*roleCluster{t.drifting, t.lowest, t.off, t.on} {
+		c.close()
 	}
-	p.exactly("needless.changes", float64(changes), 0)
-	return nil
 }
 
-// drift has owners stopped past their leases whose clocks drift from the voters' by as much as they may.
-func (p *play) drift(c *court) error {
-	owner, _ := c.taken("")
-	for range 4 {
-		if owner == "" {
-			break
-		}
-		sleeper := owner
-		if err := c.Run("0s stop " + sleeper); err != nil {
-			return err
-		}
-		owner, _ = c.taken(sleeper)
-		if err := c.Run("500ms cont " + sleeper); err != nil {
-			return err
-		}
-		// Cut off, it goes on until its own clock says that its lease is over.
-		if err := c.Run("500ms cut *>" + owner + "\n500ms cut " + owner + ">*"); err != nil {
-			return err
-		}
-		owner, _ = c.taken(owner)
-		if err := c.Run("500ms heal"); err != nil {
-			return err
-		}
+// startLoads sends RPCs to the clusters whose service is compared.
+func (t *ownerTrial) startLoads(loads *sync.WaitGroup) {
+	length := t.span(33 * time.Second)
+	var mu sync.Mutex
+	for _, c := range []*roleCluster{t.on, t.off} {
+		loads.Go(func() {
+			out := t.load(c.Cluster, length, 20, t.names)
+			mu.Lock()
+			defer mu.Unlock()
+			t.served[c] = out
+		})
 	}
-	j := rig.NewVerdict(c.workers[0].Orders(time.Time{}), experimentLease)
-	p.say("drifting: %v", j)
-	p.atMost("owners.at.once.drifting", float64(j.AtOnce), 1)
-	p.exactly("work.overlap.drifting.s", rig.Overlap(c.History.LeadershipIntervals()), 0)
-	p.exactly("late.effects.drifting", float64(j.LateEffects+j.FallingTerms+j.SharedTerms), 0)
-	p.atLeast("changes.drifting", float64(j.Changes), 4)
-	return nil
+}
+
+// verdicts checks the orders that the workers carried out, and the service.
+func (t *ownerTrial) verdicts() {
+	t.atLeast("late.refused", float64(t.on.workers[0].Refused()), 1)
+	for k, role := range []string{"", ".second"} {
+		j := rig.NewVerdict(t.on.workers[k].Orders(time.Time{}), experimentLease)
+		t.say("role %d: %v", k+1, j)
+		t.atMost("owners.at.once"+role, float64(j.AtOnce), 1)
+		t.exactly("late.effects"+role, float64(j.LateEffects), 0)
+		t.exactly("terms.falling"+role, float64(j.FallingTerms+j.SharedTerms), 0)
+	}
+	t.exactly("work.overlap.s", rig.Overlap(t.on.History.LeadershipIntervals()), 0)
+	l := rig.NewVerdict(t.lowest.workers[0].Orders(time.Time{}), experimentLease)
+	t.say("lowest name: %v", l)
+	t.atLeast("owners.at.once.lowest", float64(l.AtOnce), 2)
+	t.atLeast("late.effects.lowest", float64(l.LateEffects), 1)
+	t.inform("service.on", service(t.served[t.on], t.names))
+	t.atLeast("service.of.off", service(t.served[t.on], t.names)/service(t.served[t.off], t.names), 0.98)
 }
--- a/cmd/rehearse/pressure.go
+++ b/cmd/rehearse/pressure.go
@@ -12,60 +12,68 @@
 	"valveglade/rig"
 )
 
-// playPressure is the experiment on shedding before falling behind.
-func playPressure(p *play) error {
-	dir, err := os.MkdirTemp("", "pressure")
+// pressureTrial is what the parts of an experiment on pressure share: settings with the shedding on and off, and what the checkers
+// found.
+type pressureTrial struct {
+	directory  string
+	arguments  map[bool][]string // of the program, by whether it sheds
+	violations violationLog
+}
+
+// newPressureTrial writes the settings files. The caller closes the trial.
+func newPressureTrial() (*pressureTrial, error) {
+	directory, err := os.MkdirTemp("", "pressure")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer os.RemoveAll(dir)
-	args, err := laws(dir, "on.conf", "pressure on")
-	if err != nil {
-		return err
+	t := &pressureTrial{directory: directory, arguments: map[bool][]string{}}
+	for on, word := range map[bool]string{true: "on", false: "off"} {
+		if t.arguments[on], err = writeSettings(directory, word+".conf", "pressure "+word); err != nil {
+			t.close()
+			return nil, err
+		}
 	}
-	offArgs, err := laws(dir, "off.conf", "pressure off")
+	return t, nil
+}
+
+func (t *pressureTrial) close() { os.RemoveAll(t.directory) }
+
+// of returns the program's arguments with the shedding on or off.
+func (t *pressureTrial) of(on bool) []string { return t.arguments[on] }
+
+// playPressure is the experiment on shedding before falling behind.
+func playPressure(p *play) error {
+	t, err := newPressureTrial()
 	if err != nil {
 		return err
 	}
-	of := func(on bool) []string {
-		if on {
-			return args
-		}
-		return offArgs
-	}
-	var violations []rig.Violation
-	note := func(c *rig.Checker) {
-		c.Finish()
-		violations = append(violations, c.Violations()...)
-	}
-	if err := p.tripling(of, note); err != nil {
+	defer t.close()
+	note := t.violations.collect
+	if err := p.tripling(t.of, note); err != nil {
 		return err
 	}
-	if err := p.leak(dir, note); err != nil {
+	if err := p.leak(t.directory, note); err != nil {
 		return err
 	}
-	if err := p.fewCores(of, note); err != nil {
+	if err := p.fewCores(t.of, note); err != nil {
 		return err
 	}
-	if err := p.edge(of, note); err != nil {
+	if err := p.edge(t.of, note); err != nil {
 		return err
 	}
 	if !p.brief {
-		if err := p.calmCost(of, note); err != nil {
+		if err := p.calmCost(t.of, note); err != nil {
 			return err
 		}
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for _, b := range violations[:min(len(violations), 10)] {
-		p.say("%s", b)
-	}
+	t.violations.report(p)
 	return nil
 }
 
 // capacity is the rate that the throttled program can just bear, reading in plain order: a load rises until its RPCs
 // take several times as long as the work and the quota's pauses do.
 func (p *play) capacity(args []string) (float64, error) {
-	s, err := p.stand(tillSite(1000, 30), args, time.Second, 8)
+	s, err := p.startPressureServer(tillSite(1000, 30), args, time.Second, 8)
 	if err != nil {
 		return 0, err
 	}
@@ -102,13 +110,13 @@
 	return found, nil
 }
 
-// tripled is what came of a tripling.
-type tripled struct {
-	out     rig.Outcome
-	probes  []float64
-	away    int // repeats of what had begun that were pushed back
-	repeats int
-	shifts  []shift
+// triplingResult is what came of a tripling.
+type triplingResult struct {
+	out        rig.Outcome
+	probes     []float64
+	pushedBack int // repeats of what had begun that were pushed back
+	repeats    int
+	levels     []levelChange
 }
 
 // tripling has the load go from well within what the program can read to an eighth beyond it. The kernel could serve
@@ -125,8 +133,8 @@
 	}
 	p.inform("bears.rpcs.per.s", bears)
 	base := bears * 1.12 / 3
-	triple := func(on bool) (t tripled, err error) {
-		s, err := p.stand(tillSite(1000, 30), of(on), time.Second, 8)
+	triple := func(on bool) (t triplingResult, err error) {
+		s, err := p.startPressureServer(tillSite(1000, 30), of(on), time.Second, 8)
 		if err != nil {
 			return t, err
 		}
@@ -156,12 +164,12 @@
 			defer mu.Unlock()
 			t.repeats++
 			if errors.Is(err, rig.ErrPushedBack) {
-				t.away++
+				t.pushedBack++
 			}
 		})
 		end()
 		probing.Wait()
-		t.shifts = shifts(s.Programs[0].Log())
+		t.levels = levelChanges(s.Programs[0].Log())
 		if on { // without it the program falls behind, which is what is to be shown
 			note(s.check)
 		}
@@ -175,7 +183,7 @@
 	p.atLeast("off.loop.delay.p99.ms", quantile(off.probes, 0.99)*1000, 50)
 	p.atLeast("criticality.ok", on.out.Criticality, 0.95)
 	p.inform("off.criticality.ok", off.out.Criticality)
-	p.exactly("begun.turned.away", float64(on.away), 0)
+	p.exactly("begun.turned.away", float64(on.pushedBack), 0)
 	p.inform("begun.repeated", float64(on.repeats))
 	starved := 0
 	for _, s := range till(0, 0) {
@@ -187,7 +195,7 @@
 			float64(m.Times.ValueAtQuantile(99))/1000, o.OK, o.Asked, float64(o.Times.ValueAtQuantile(99))/1000)
 	}
 	p.exactly("starved.methods", float64(starved), 0)
-	for _, s := range on.shifts {
+	for _, s := range on.levels {
 		p.say("%s from %s by %s, %.0f refused", s.Level, s.From, s.Causes, s.Refused)
 	}
 	return nil
@@ -209,18 +217,18 @@
 		peak   int64
 		killed int
 		out    rig.Outcome
-		shifts []shift
+		shifts []levelChange
 	}
 	const limit = 18
 	one := func(on bool) (l leaked, err error) {
 		word := map[bool]string{true: "on", false: "off"}[on]
-		args, err := laws(dir, "leak-"+word+".conf", "pressure "+word, "pressure.growth "+max(length/6, time.Second).String())
+		args, err := writeSettings(dir, "leak-"+word+".conf", "pressure "+word, "pressure.growth "+max(length/6, time.Second).String())
 		if err != nil {
 			return l, err
 		}
 		site := tillSite(64, 2*1200)
 		site.MemoryMB, site.Kill = limit, true
-		s, err := p.stand(site, args, time.Second, 4)
+		s, err := p.startPressureServer(site, args, time.Second, 4)
 		if err != nil {
 			return l, err
 		}
@@ -230,7 +238,7 @@
 		l.out = rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return rate }, Length: length, Prefix: "l", Pad: 110,
 			Shares: shares}.Run(context.Background(), s.check, s.routers...)
 		l.peak, l.killed = s.Peak(), s.Killed()
-		l.shifts = shifts(s.Programs[0].Log())
+		l.shifts = levelChanges(s.Programs[0].Log())
 		if on {
 			note(s.check)
 		}
@@ -261,7 +269,7 @@
 // still.
 func (p *play) fewCores(of func(bool) []string, note func(*rig.Checker)) error {
 	const cores, work, rate = 4, 0.02, 330.0
-	s, err := p.stand(tillSite(cores, 30), of(true), 200*time.Millisecond, 8)
+	s, err := p.startPressureServer(tillSite(cores, 30), of(true), 200*time.Millisecond, 8)
 	if err != nil {
 		return err
 	}
@@ -286,17 +294,17 @@
 	}
 	p.atLeast("few.cores.of.the.best", out.Criticality/(best/asked), 0.95)
 	p.inform("few.cores.criticality.ok", out.Criticality)
-	var hung sync.WaitGroup
-	hung.Go(func() {
+	var hanging sync.WaitGroup
+	hanging.Go(func() {
 		time.Sleep(p.span(500 * time.Millisecond))
 		s.Programs[0].Kernel.Hang(true)
 		time.Sleep(p.span(1500 * time.Millisecond))
 		s.Programs[0].Kernel.Hang(false)
 	})
 	run("h", rate/3, p.span(2500*time.Millisecond))
-	hung.Wait()
+	hanging.Wait()
 	refused := 0.0
-	for _, m := range shifts(s.Programs[0].Log()) {
+	for _, m := range levelChanges(s.Programs[0].Log()) {
 		refused = max(refused, m.Refused)
 		p.say("few cores: %s from %s by %s", m.Level, m.From, m.Causes)
 	}
@@ -317,7 +325,7 @@
 			bears = f.Value
 		}
 	}
-	s, err := p.stand(tillSite(1000, 30), of(true), time.Second, 8)
+	s, err := p.startPressureServer(tillSite(1000, 30), of(true), time.Second, 8)
 	if err != nil {
 		return err
 	}
@@ -325,51 +333,41 @@
 	defer s.Programs[0].Throttle(quotaRun, quotaPeriod)()
 	rig.Load{Seed: p.Seed, Rate: func(float64) float64 { return bears }, Length: length, Prefix: "e",
 		Shares: till(0.004, time.Second)}.Run(context.Background(), s.check, s.routers...)
-	all := shifts(s.Programs[0].Log())
+	all := levelChanges(s.Programs[0].Log())
 	for _, m := range all {
 		p.say("edge: %s from %s by %s, %.0f refused", m.Level, m.From, m.Causes, m.Refused)
 	}
-	p.atMost("flaps", float64(flaps(all)), 2)
+	p.atMost("flaps", float64(countFlaps(all)), 2)
 	note(s.check)
 	return nil
 }
 
 // playEdge holds the load at the edge for two minutes.
 func playEdge(p *play) error {
-	dir, err := os.MkdirTemp("", "edge")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	args, err := laws(dir, "on.conf", "pressure on")
+	t, err := newPressureTrial()
 	if err != nil {
 		return err
 	}
-	of := func(bool) []string { return args }
-	bears, err := p.capacity(args)
+	defer t.close()
+	bears, err := p.capacity(t.of(true))
 	if err != nil {
 		return err
 	}
 	p.inform("bears.rpcs.per.s", bears)
 	p.Long = true
-	var violations []rig.Violation
-	if err := p.edge(of, func(c *rig.Checker) {
-		c.Finish()
-		violations = append(violations, c.Violations()...)
-	}); err != nil {
+	if err := p.edge(t.of, t.violations.collect); err != nil {
 		return err
 	}
-	p.exactly("breaches", float64(len(violations)), 0)
-	for _, b := range violations[:min(len(violations), 10)] {
-		p.say("%s", b)
-	}
+	t.violations.report(p)
 	return nil
 }
 
 // calmCost compares the processor time of an RPC with watching and without, in turn.
 func (p *play) calmCost(of func(bool) []string, note func(*rig.Checker)) error {
 	const rate = 1500.0
-	one := func(on bool) (*stand, error) { return p.stand(tillSite(64, 30), of(on), time.Second, 4) }
+	one := func(on bool) (*pressureServer, error) {
+		return p.startPressureServer(tillSite(64, 30), of(on), time.Second, 4)
+	}
 	on, off, err := both(one)
 	if err != nil {
 		return err
@@ -383,7 +381,7 @@
 		rounds = 30
 	}
 	for k := range rounds * 2 {
-		s := []*stand{on, off}[k%2]
+		s := []*pressureServer{on, off}[k%2]
 		before := s.Programs[0].CPU()
 		out := rig.Load{Seed: p.Seed + uint64(k/2), Rate: func(float64) float64 { return rate }, Length: time.Second,
 			Prefix: "c" + string(rune('a'+k)), Shares: till(0.004, time.Second)}.Run(context.Background(), s.check, s.routers...)
--- a/cmd/rehearse/scale_config.go
+++ b/cmd/rehearse/scale_config.go
@@ -26,25 +26,19 @@
 
 // tenantSizes and routeSizes are what the configuration is measured at; the long form goes to the design size.
 func (p *play) tenantSizes() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, 100_000, 400_000, designTenants}
-	default:
-		return []int{1_000, 10_000, 30_000, 100_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 10_000, 30_000, 100_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, 100_000, 400_000, designTenants},
+	}.of(p)
 }
 
 func (p *play) routeSizes() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, designRoutes}
-	default:
-		return []int{1_000, 5_000, 15_000, 40_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 5_000, 15_000, 40_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, designRoutes},
+	}.of(p)
 }
 
 // configCost is what one size of the configuration costs.
@@ -53,8 +47,8 @@
 	change                                 changeCost
 }
 
-// weighConfig starts a program with a configuration and changes that some times.
-func (p *play) weighConfig(size tables) (cost configCost, err error) {
+// measureConfigOnce starts a program with a configuration and changes that some times.
+func (p *play) measureConfigOnce(size tables) (cost configCost, err error) {
 	s, err := p.startScaled(size, roomyMemory, fewSockets)
 	if err != nil {
 		return cost, err
@@ -91,7 +85,7 @@
 func (p *play) configSeries(r *slope.Result, against string, sizes []int, of func(n int) tables) error {
 	var file, start, resident, wall, cpu, peak []slope.Point
 	for _, n := range sizes {
-		cost, err := p.weighConfig(of(n))
+		cost, err := p.measureConfigOnce(of(n))
 		if err != nil {
 			return err
 		}
--- a/cmd/rehearse/scale_rpc.go
+++ b/cmd/rehearse/scale_rpc.go
@@ -67,14 +67,11 @@
 
 // connectionSizes are how many connections are open.
 func (p *play) connectionSizes() []int {
-	switch {
-	case p.brief:
-		return []int{4, 8, 16, 32}
-	case p.Long:
-		return []int{10, 100, 1_000, 2_000, 4_000, 10_000}
-	default:
-		return []int{10, 100, 1_000, 4_000}
-	}
+	return forms[[]int]{
+		brief: []int{4, 8, 16, 32},
+		usual: []int{10, 100, 1_000, 4_000},
+		long:  []int{10, 100, 1_000, 2_000, 4_000, 10_000},
+	}.of(p)
 }
 
 // rpcTables is the configuration under which RPCs are measured: the design size.
@@ -171,14 +168,11 @@
 }
 
 func (p *play) rpcRates() []rpcRate {
-	switch {
-	case p.brief:
-		return []rpcRate{{meanRate, 1, 200 * time.Millisecond}, {highRate, 1, 50 * time.Millisecond}}
-	case p.Long:
-		return []rpcRate{{meanRate, 6, time.Second}, {highRate, 6, 500 * time.Millisecond}}
-	default:
-		return []rpcRate{{meanRate, 3, 500 * time.Millisecond}, {highRate, 3, 250 * time.Millisecond}}
-	}
+	return forms[[]rpcRate]{
+		brief: []rpcRate{{meanRate, 1, 200 * time.Millisecond}, {highRate, 1, 50 * time.Millisecond}},
+		usual: []rpcRate{{meanRate, 3, 500 * time.Millisecond}, {highRate, 3, 250 * time.Millisecond}},
+		long:  []rpcRate{{meanRate, 6, time.Second}, {highRate, 6, 500 * time.Millisecond}},
+	}.of(p)
 }
 
 // measureRPC measures what the program adds to an RPC against open connections, with tables of the design size in memory,
@@ -216,13 +210,13 @@
 func (p *play) rpcSeries(r *slope.Result, s *scaledProgram, bare *bareServer, note string) error {
 	through := newFrameLoad(s.configuration.listen, s.check, s.configuration.tables.routes, "rpc")
 	defer through.close()
-	beside := newFrameLoad(bare.address, nil, s.configuration.tables.routes, "bare")
-	defer beside.close()
+	bareLoad := newFrameLoad(bare.address, nil, s.configuration.tables.routes, "bare")
+	defer bareLoad.close()
 	rates := p.rpcRates()
 	var medians, tails, cpus = make([][]slope.Point, len(rates)), make([][]slope.Point, len(rates)), make([][]slope.Point, len(rates))
 	for _, n := range p.connectionSizes() {
 		n = min(n, pairedConnections/2)
-		for _, load := range []*frameLoad{through, beside} {
+		for _, load := range []*frameLoad{through, bareLoad} {
 			if err := load.connect(n); err != nil {
 				return fmt.Errorf("%d connections to %s: %w: %.2000s", n, load.prefix, err, s.Log())
 			}
@@ -232,7 +226,7 @@
 		}
 		for k, rate := range rates {
 			cpu, sent := s.CPU(), through.sent
-			added, err := compareLoads(through, beside, rate, p.Seed+uint64(n))
+			added, err := compareLoads(through, bareLoad, rate, p.Seed+uint64(n))
 			if err != nil {
 				return fmt.Errorf("%d connections, %g RPCs a second: %w", n, rate.perSecond, err)
 			}
@@ -260,26 +254,20 @@
 
 // changingTenants are how many tenants the configuration has that changes while RPCs are served.
 func (p *play) changingTenants() []int {
-	switch {
-	case p.brief:
-		return []int{10, 40, 160, 640}
-	case p.Long:
-		return []int{1_000, 3_000, 10_000, 30_000, 100_000, 300_000}
-	default:
-		return []int{1_000, 4_000, 12_000, 40_000}
-	}
+	return forms[[]int]{
+		brief: []int{10, 40, 160, 640},
+		usual: []int{1_000, 4_000, 12_000, 40_000},
+		long:  []int{1_000, 3_000, 10_000, 30_000, 100_000, 300_000},
+	}.of(p)
 }
 
 // changingRate is at which RPCs are sent at each size; but for the shortest form a round has a change or more in it.
 func (p *play) changingRate() rpcRate {
-	switch {
-	case p.brief:
-		return rpcRate{meanRate, 1, 200 * time.Millisecond}
-	case p.Long:
-		return rpcRate{meanRate, 6, changePeriod}
-	default:
-		return rpcRate{meanRate, 3, changePeriod}
-	}
+	return forms[rpcRate]{
+		brief: rpcRate{meanRate, 1, 200 * time.Millisecond},
+		usual: rpcRate{meanRate, 3, changePeriod},
+		long:  rpcRate{meanRate, 6, changePeriod},
+	}.of(p)
 }
 
 // measureRPCUnderChanges measures what the program adds to an RPC while its configuration changes as often as at the design
@@ -319,9 +307,9 @@
 	defer s.close()
 	through := newFrameLoad(s.configuration.listen, s.check, size.routes, "changing")
 	defer through.close()
-	beside := newFrameLoad(bare.address, nil, size.routes, "bare")
-	defer beside.close()
-	for _, load := range []*frameLoad{through, beside} {
+	bareLoad := newFrameLoad(bare.address, nil, size.routes, "bare")
+	defer bareLoad.close()
+	for _, load := range []*frameLoad{through, bareLoad} {
 		if err := load.connect(connections); err != nil {
 			return added, 0, err
 		}
@@ -331,14 +319,14 @@
 	}
 	rate := p.changingRate()
 	cpu, began := s.CPU(), time.Now()
-	if _, err := playRound(through, beside, rpcRate{meanRate, 1, rate.length / 2}, p.Seed); err != nil {
+	if _, err := playRound(through, bareLoad, rpcRate{meanRate, 1, rate.length / 2}, p.Seed); err != nil {
 		return added, 0, err
 	}
 	quietCore := (s.CPU() - cpu).Seconds() / time.Since(began).Seconds()
 	end, over := make(chan struct{}), make(chan error, 1)
 	go func() { over <- s.changeUntil(end) }()
 	cpu, began = s.CPU(), time.Now()
-	added, err = compareLoads(through, beside, rate, p.Seed+1)
+	added, err = compareLoads(through, bareLoad, rate, p.Seed+1)
 	core = (s.CPU()-cpu).Seconds()/time.Since(began).Seconds() - quietCore
 	close(end)
 	if changed := <-over; err == nil {
--- a/cmd/rehearse/view.go
+++ b/cmd/rehearse/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"os"
@@ -16,28 +15,18 @@
 )
 
 // playView is the experiment on the view: deaths, flapping, two under one name, a sleeper, a rolling release and a start of
-// all at once, beside the same processes with the fleet off.
+// all at once, compared with the same processes with the fleet off.
 func playView(p *play) error {
 	const n = 12
-	f := &flock{}
-	defer f.close()
-	var on, off *rig.Cluster
-	var group sync.WaitGroup
-	var errOn, errOff error
-	began := time.Now()
-	group.Go(func() { on, errOn = rig.NewCluster(p.plan(n)) })
 	plan := p.plan(n)
 	plan.Off = true
-	group.Go(func() { off, errOff = rig.NewCluster(plan) })
-	group.Wait()
-	for _, s := range []*rig.Cluster{on, off} {
-		if s != nil {
-			f.clusters = append(f.clusters, s)
-		}
-	}
-	if err := errors.Join(errOn, errOff); err != nil {
+	began := time.Now()
+	f, err := startClusters(p.plan(n), plan)
+	if err != nil {
 		return err
 	}
+	defer f.close()
+	on, off := f.clusters[0], f.clusters[1]
 	all := names(n)
 	p.untilAlike(on, 15*time.Second, n, all)
 	p.atMost("joined.all", time.Since(began).Seconds(), 10)
@@ -45,7 +34,7 @@
 	// At rest, once what the joining has set off has been passed around.
 	if !p.brief {
 		time.Sleep(3 * time.Second)
-		if err := p.atRest(on, off, all, 3*time.Second); err != nil {
+		if err := p.measureAtRest(on, off, all, 3*time.Second); err != nil {
 			return err
 		}
 	}
@@ -139,9 +128,9 @@
 	return p.keep(on)
 }
 
-// atRest measures what the fleet costs a process that has nothing to do: bytes and packets of the fleet, and processor time on
+// measureAtRest measures what the fleet costs an idle process: bytes and packets of the fleet, and processor time on
 // top of the same process with the fleet off.
-func (p *play) atRest(on, off *rig.Cluster, all []string, span time.Duration) error {
+func (p *play) measureAtRest(on, off *rig.Cluster, all []string, span time.Duration) error {
 	look := func() (cpuOn, cpuOff time.Duration, bytes, packets int64, err error) {
 		for _, name := range all {
 			shown, err := member.ReadStatus(on.Socket(name))
@@ -172,25 +161,16 @@
 	return nil
 }
 
-// playViewFaults is the experiment on the view between faults of the network, beside the gossip library alone.
+// playViewFaults is the experiment on the view between faults of the network, compared with the gossip library alone.
 func playViewFaults(p *play) error {
 	const n = 12
-	f := &flock{}
-	defer f.close()
-	var on, bare *rig.Cluster
-	var group sync.WaitGroup
-	var errOn, errBare error
-	group.Go(func() { on, errOn = rig.NewCluster(p.plan(n)) })
-	group.Go(func() { bare, errBare = rig.NewCluster(p.bare(n)) })
-	group.Wait()
-	for _, s := range []*rig.Cluster{on, bare} {
-		if s != nil {
-			f.clusters = append(f.clusters, s)
-		}
-	}
-	if err := errors.Join(errOn, errBare); err != nil {
+	f, err := startClusters(p.plan(n), p.bare(n))
+	if err != nil {
 		return err
 	}
+	defer f.close()
+	on, bare := f.clusters[0], f.clusters[1]
+	var group sync.WaitGroup
 	all := names(n)
 	p.atMost("joined.all", p.untilAlike(on, 15*time.Second, n, all), 10)
 	p.inform("joined.all.bare", p.untilAlike(bare, 15*time.Second, n, all))
@@ -270,8 +250,8 @@
 	return p.keep(on)
 }
 
-// playViewDrawn plays faults that nobody has chosen, and asks for what must hold whatever they were: in the end all see
-// the same, all of it, and no rule was broken.
+// playViewDrawn plays faults drawn at random, and checks what must hold under any faults: in the end all processes have one view of
+// all that run, and no rule was broken.
 func playViewDrawn(p *play) error {
 	const n = 8
 	length := p.span(20 * time.Second)
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -54,21 +54,21 @@
 		{`"roster":"127.2.0.1:8500",`, ``}, {`3200`, `"soon"`}, {`3200`, `-1`}, {`"sockets":1024`, `"sockets":"many"`},
 		{`"sockets":1024`, `"sockets":8`}, {`"memory_mb":192`, `"memory_mb":1`}, {`"limits":{`, `"limits":3,"x":{`},
 		{`"below":"none"`, `"below":"sideways"`}, {`"nCores":6`, `"nCores":"six"`}, {`"retryable"`, `"often"`},
-		{`"windowS":35`, `"windowS":0`}, {`"record"`, `"look"`}, {`"onTimeS":1.6`, `"onTimeS":-1`},
+		{`"windowS":35`, `"windowS":-1`}, {`"record"`, `"look"`}, {`"onTimeS":1.6`, `"onTimeS":-1`},
 		{`"deadlineS":12`, `"deadlineS":-12`}, {`"settings"`, `"other"`},
 	} {
 		show(strings.Replace(whole, edit[0], edit[1], 1))
 	}
 	// Output:
 	// GW_CONFIG: not a JSON object: unexpected end of JSON input
-	// GW_CONFIG: not a JSON object: json: cannot unmarshal array into Go value of type map[string]json.RawMessage
+	// GW_CONFIG: not a JSON object: it is of type array
 	// name: a JSON number where a string is wanted
 	// name: missing
 	// listen: "somewhere" is no address and port
 	// kernel: "127.1.0.1" is no address and port
 	// roster: "" is no address and port
 	// stop_ms: a JSON string where a number is wanted
-	// stop_ms: -1 is not between 100 and 3600000
+	// stop_ms: -1 is negative
 	// limits.sockets: a JSON string where a number is wanted
 	// limits.sockets: 8 is less than the 32 that the process needs
 	// limits.memory_mb: 1 is less than the 16 that the process needs
@@ -76,8 +76,8 @@
 	// settings.domain.below: "sideways" is not known
 	// settings.domain.nCores: a JSON string where a number is wanted
 	// settings.profiles[0].idempotency: "often" is not known
-	// settings.profiles[1].windowS: 0 is not above 0
-	// settings.profiles[1].name: "look" is empty or named twice
+	// settings.profiles[1].windowS: -1 is negative
+	// settings.profiles[1].name: "look" is named twice
 	// settings.profiles[0].onTimeS: -1 is negative
 	// settings.profiles[1].deadlineS: -12 is negative
 	// settings.profiles: no method is named
--- a/server/conn.go
+++ b/server/conn.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"valveglade/gate"
+	"valveglade/internal/readbuffer"
 	"valveglade/internal/thrift"
 )
 
@@ -53,33 +54,36 @@
 	writing       bool      // an answer is on its way out
 	owing         int64     // bytes of results that wait to be written, or are being written
 	ended         bool      // nobody is there any more
-	mute          bool      // the writer has ended
+	writerEnded   bool      // the writer has ended
 	phase         phase     // changed by move alone
 	partial       bool      // the router is in the middle of a message
 	due           time.Time // when what has come of a message must be whole, zero for never
-	stirred       bool      // the read deadline is not due, but wakes the reader
+	woken         bool      // the read deadline is not due, but wakes the reader
 	evicted       bool      // its descriptor is wanted
 	known         bool      // a whole message has come
 	used          time.Time // last frame either way
 	askedAt       time.Time // when the router was asked to leave, zero before
 	lastAt        time.Time // when it began to close
+	endedAt       time.Time // when nothing more was taken in
+	looked        bool      // the reader has had its last look, see lastLook
 	closeOnce     sync.Once // see Close
 	wake          chan struct{}
 	taken         chan struct{} // holds one when the writer has taken up what waited, or nothing more is taken in
+	shutDown      chan struct{} // closed once our side is shut
 	gone          chan struct{} // closed once the descriptor has been given back
-	last          int32         // number of the last RPC; the reader's own
+	numbers                     // of its RPCs; the reader's own
 	protocolError error         // what ends the connection; the reader's own
-	odd           atomic.Int32  // RPCs that could not be run
+	odd           atomic.Int32  // RPCs of no usual router since the kernel last knew one, see judge
 }
 
 const (
-	mostOpen  = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
-	mostOdd   = 8                       // RPCs that cannot be run, before whoever sends them has to connect again
-	early     = time.Millisecond        // a timer may be early by, as clocks are read one after another
-	stuck     = 10 * time.Second        // a router that does not read for so long has lost its answers
-	whole     = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
-	writeSize = 16 << 10                // answers gathered for one write
-	callSize  = 1 << 10                 // what an RPC takes beside its body, about
+	mostOpen       = 64                      // RPCs open or with an unwritten answer: 32, and what crosses interrupts
+	mostOdd        = 8                       // RPCs of no usual router running, before whoever sends them has to connect again
+	timerSlack     = time.Millisecond        // a timer may be early by, as clocks are read one after another
+	writeTimeout   = 10 * time.Second        // a router that does not read for so long has lost its answers
+	messageTimeout = 1500 * time.Millisecond // for a message to come whole: half of what a client has to be told within
+	writeSize      = 16 << 10                // answers gathered for one write
+	callSize       = 1 << 10                 // what an RPC takes beside its body, about
 )
 
 // serve reads and writes until the connection ends.
@@ -96,9 +100,18 @@
 	c.group.Go(func() error {
 		defer c.over()
 		defer end()
-		if err := c.stopPanic(c.read); err != nil {
+		in := readbuffer.New(thrift.MaxFrame + 4)
+		err := c.stopPanic(func() error { return c.read(in) })
+		if err != nil && c.stopPanic(func() error {
 			c.fail(err)
+			return nil
+		}) != nil {
+			end()
 		}
+		c.stopPanic(func() error {
+			c.lastLook(in, err == nil || isRefusable(err))
+			return nil
+		})
 		c.readOn()
 		return nil
 	})
@@ -121,7 +134,7 @@
 	defer c.mu.Unlock()
 	q = quiet{conn: c, since: c.used, part: c.partial, known: c.known, shut: c.phase == shut, going: c.evicted}
 	if c.partial && !c.due.IsZero() {
-		q.since = c.due.Add(-whole)
+		q.since = c.due.Add(-messageTimeout)
 	}
 	if !c.askedAt.IsZero() {
 		q.asked = time.Since(c.askedAt)
@@ -160,9 +173,11 @@
 	c.open, c.ended = nil, true
 	c.press.owed.Add(-c.owing)
 	c.mu.Unlock()
-	c.giveUp(open)
-	discard(c.Conn)
-	c.Close() // before its place is free
+	c.stopPanic(func() error {
+		c.giveUp(open)
+		return nil
+	})
+	c.Close() // before its place is free; over what was never read it is a reset
 	c.Server.mu.Lock()
 	delete(c.conns, c)
 	c.Server.mu.Unlock()
--- a/server/end_test.go
+++ b/server/end_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"valveglade/config"
+	"valveglade/rpc"
 )
 
 // until waits for a condition.
@@ -42,6 +43,13 @@
 	return n, err
 }
 
+// one lets one read through.
+func (g gated) one() {
+	g.steps <- true
+	<-g.got
+	g.out <- true
+}
+
 // free lets all through from here on.
 func (g gated) free() {
 	close(g.steps)
@@ -229,7 +237,7 @@
 	// served: <nil>
 }
 
-// A newcomer that is turned away, its first RPC unread, hears an end. A close alone would be a reset.
+// A newcomer that is turned away hears the answer to its first RPC and an end. A close alone would be a reset.
 func Example_rejectUnread() {
 	listener := must(net.Listen("tcp", "127.0.0.1:0"))
 	defer listener.Close()
@@ -242,14 +250,18 @@
 		n, _, _ := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK)
 		return n > 0
 	})
-	reject(nc)
+	c := &config.Config{Memory: 64 << 20, Methods: []string{"look"}}
+	c.Rules.Methods = []rpc.Method{{Kind: rpc.Idempotent}}
+	New(c, zap.NewNop()).turnAway(nc)
 	must(r.Conn.(*net.TCPConn).SyscallConn()).Control(func(fd uintptr) {
 		keyError, _ := syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
 		fmt.Println("reset:", keyError != 0)
 	})
+	r.hear(1)
 	r.ends()
 	// Output:
 	// reset: false
+	// router: 1 pushed back
 	// router: the end, after 0 bytes
 }
 
@@ -258,7 +270,9 @@
 // it.
 func Example_exitCrossed() {
 	t := openPrepared(func(c *config.Config) { c.Stop, c.Rules.Rules.Grace = 40, 0.05 }, zap.NewNop(), func(s *Server) {
-		s.spans = drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1}
+		s.spans = func(float64) drainSpans {
+			return drainSpans{notAccepting: 39.5, closing: 39.4, cutShort: 0.2, exit: 0.1}
+		}
 	})
 	t.linkUp()
 	r, c, g := t.gatedRouter()
@@ -302,7 +316,9 @@
 // good order all the same.
 func Example_cutShort() {
 	t := openPrepared(func(c *config.Config) { c.Stop = 40 }, zap.NewNop(), func(s *Server) {
-		s.spans = drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1}
+		s.spans = func(float64) drainSpans {
+			return drainSpans{notAccepting: 39.9, closing: 39.8, cutShort: 39.7, exit: 0.1}
+		}
 	})
 	t.linkUp()
 	r, c, g := t.gatedRouter()
@@ -366,7 +382,12 @@
 // on them is answered. One that comes after the close is refused, which proves that nothing ran. Before, the close reset
 // those in the queue.
 func Example_notAccepting() {
-	t := open(nil)
+	t := openPrepared(func(c *config.Config) { c.Stop = 20 }, zap.NewNop(), func(s *Server) {
+		s.spans = func(float64) drainSpans {
+			return drainSpans{notAccepting: 19.5, closing: 17.5, cutShort: 0.2, exit: 0.1}
+		}
+	})
+	t.linkUp()
 	t.Server.mu.Lock() // who accepts now waits with the first in hand
 	first, queued, last := t.dial(), t.dial(), t.dial()
 	for k, r := range []*router{first, queued, last} {
@@ -416,7 +437,7 @@
 		odd.execute(seq+1, "op", "sing")
 	}
 	g.free() // all in few reads
-	odd.hear(mostOdd)
+	odd.hear(2 * mostOdd)
 	odd.ends()
 	until("gone", func() bool { return !c.there() })
 
@@ -444,6 +465,14 @@
 	// router: 6 aborted
 	// router: 7 aborted
 	// router: 8 aborted
+	// router: 9 aborted
+	// router: 10 aborted
+	// router: 11 aborted
+	// router: 12 aborted
+	// router: 13 aborted
+	// router: 14 aborted
+	// router: 15 aborted
+	// router: 16 aborted
 	// router: the end, after 0 bytes
 	// kernel: SCHED 4 record body of t
 	// router: 20 aborted
@@ -625,10 +654,10 @@
 	t.close()
 	// Output:
 	// router: 1 ok "" good 0
-	// credit: 1.5 reports: 0
+	// credit: 1 reports: 0
 	// kernel: SCHED 2 look body 2
 	// roster: HERE n1 on
-	// credit: 1.5
+	// credit: 1
 	// router: 3 ok "" good 1
 	// router: 2 ok "two" good 1
 	// served: <nil>
--- a/server/rpcs.go
+++ b/server/rpcs.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"math"
+
 	"go.uber.org/zap"
 
 	"valveglade/internal/thrift"
@@ -11,7 +13,6 @@
 	if c.out(seq) {
 		return
 	}
-	now := clock()
 	method, known := c.methods[string(op)]
 	tokened := known && c.tokened(method)
 	switch {
@@ -21,38 +22,33 @@
 	case tokened && len(dedupe) == 0:
 		c.unreadable(seq, "dedupe")
 		return
-	case recv < now-offClock || recv > now+offClock:
-		c.unreadable(seq, "recv")
-		return
-	case ttl > offClock:
-		c.unreadable(seq, "ttl")
-		return
 	}
 	if c.config.Load().Rules.MayCall(method) {
-		c.refuseUnserved(seq)
+		c.refuse(seq, true) // no app server of this build can call, so no try of it has run either
 		return
 	}
+	now, recv := c.clock.arrival(recv, c.longestWait(method, ttl))
 	if c.press.on.Load() {
-		c.press.came(method, now-recv)
+		c.press.came(method, min(max(now-recv, 0), mostLag))
 		if c.turnsAway(seq, method, dedupe, recv, len(body)) {
 			return
 		}
 	}
+	token := ""
+	if tokened {
+		token = string(dedupe)
+	}
 	k := &call{conn: c, seq: seq, method: method, uid: string(uid), body: append([]byte(nil), body...)}
 	if c.held.Add(k.size()) > int64(c.config.Load().Memory/heldShare) {
 		c.held.Add(-k.size())
-		c.unreadable(seq, "no memory for it")
+		c.lacksMemory(seq, method, token, recv)
 		return
 	}
-	token := ""
-	if tokened {
-		token = string(dedupe)
-	}
 	c.mu.Lock()
 	c.open[seq] = k
 	c.mu.Unlock()
 	var ok bool
-	if k.id, ok = c.gate.Arrive(now, method, src, recv, max(min(recv, now)+ttl, 1), heap, again, k.uid, token, body,
+	if k.id, ok = c.gate.Arrive(now, method, src, recv, c.givenUpAt(method, now, recv, ttl), heap, again, k.uid, token, body,
 		k); !ok {
 		c.mu.Lock()
 		delete(c.open, seq)
@@ -66,7 +62,7 @@
 // has begun is not refused: a repeat of it goes to the gate.
 func (c *conn) turnsAway(seq int32, method int, token []byte, recv float64, size int) bool {
 	e := c.press.effects.Load()
-	if size <= e.Largest && c.press.lets(method) || len(token) > 0 && c.gate.Knows(method, string(token), recv) {
+	if size <= e.Largest && c.press.lets(method) || c.tokened(method) && len(token) > 0 && c.gate.Knows(method, string(token), recv) {
 		return false
 	}
 	c.press.refused.Add(1)
@@ -74,11 +70,20 @@
 	return true
 }
 
-// refuseUnserved answers an RPC of a method that may call the layer below, which no app server of this build can. Such a
-// method never runs, so no try of the RPC has been run either.
-func (c *conn) refuseUnserved(seq int32) {
+// lacksMemory answers an RPC for which there is no room: it has not run, unless it repeats one that may have.
+func (c *conn) lacksMemory(seq int32, method int, token string, recv float64) {
+	c.limited.Warn("no memory for an RPC", zap.Stringer("router", c.RemoteAddr()))
+	if token != "" && c.gate.Knows(method, token, recv) {
+		c.say(func(out []byte, load float64) []byte { return thrift.Aborted(out, seq, load) })
+		return
+	}
+	c.refuse(seq, false)
+}
+
+// refuse answers an RPC that never ran, with the longest advice that callers heed; last asks that no other app server be tried.
+func (c *conn) refuse(seq int32, last bool) {
 	after := c.config.Load().Rules.LongestAdvice()
-	c.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, true, after, load) })
+	c.say(func(out []byte, load float64) []byte { return thrift.PushedBack(out, seq, last, after, load) })
 }
 
 // logUnserved names each method whose RPCs are all refused.
@@ -92,8 +97,26 @@
 	}
 }
 
-// offClock: an arrival or a deadline further off than an hour is a mistake, and so is no use to the module.
-const offClock = 3600.0
+// mostLag is the longest time in seconds that one RPC counts as having lain unread: recv is its client's word, and one
+// client's alone is not to put the process under pressure.
+const mostLag = 5.0
+
+// unknownWait is how long in seconds a client counts as waiting where neither its router nor the settings tell.
+const unknownWait = 3600.0
+
+// givenUpAt is when an RPC's client gives up, 0 where its router does not tell: then the module goes by the method's deadline. No
+// client waits longer than that, whatever the router says.
+func (c *conn) givenUpAt(method int, now, recv, ttl float64) float64 {
+	wait := c.longestWait(method, ttl)
+	switch told := !math.IsInf(ttl, 1); {
+	case !told && math.IsInf(wait, 1):
+		wait = unknownWait
+	case !told:
+		return 0
+	}
+	const someTime = 1 // a router that tells of a time long ago has told all the same
+	return max(min(recv, now)+wait, someTime)
+}
 
 // usedTwice is a number that two RPCs of one connection came under.
 type usedTwice struct{ seq int32 }
@@ -124,6 +147,16 @@
 	c.odd.Add(1)
 }
 
+// judge takes note of the kernel's word on an RPC of this connection: of what a client had not sent it knows nothing. One that it
+// does know shows a usual router, whose odd RPCs count afresh: its connection may live for as long as it likes.
+func (c *conn) judge(known bool) {
+	if known {
+		c.odd.Store(0)
+	} else {
+		c.odd.Add(1)
+	}
+}
+
 // Interrupt tells that nobody waits for an RPC any more.
 func (c *conn) Interrupt(target int32) {
 	c.mu.Lock()
--- a/server/server_test.go
+++ b/server/server_test.go
@@ -329,6 +329,29 @@
 	// served: <nil>
 }
 
+// The link breaks right behind what the kernel was asked: a tokened RPC is not asked for again, as its run may be at its end.
+// That end comes, and its RPC is served.
+func Example_linkOnce() {
+	t := open(nil)
+	r := t.dial()
+	r.execute(1, "op", "record", "dedupe", "t")
+	t.asked()
+	t.kernel.Close()
+	t.link()
+	r.execute(2)
+	t.asked()
+	t.reap(1, "fine", "one")
+	t.reap(2, "fine", "two")
+	r.hear(2)
+	t.close()
+	// Output:
+	// kernel: SCHED 1 record body of t
+	// kernel: SCHED 2 look body 2
+	// router: 1 ok "one" good 1
+	// router: 2 ok "two" good 1
+	// served: <nil>
+}
+
 // What cannot be run is answered and the connection goes on; what cannot be read ends the connection, and no
 // other.
 func Example_bad() {
@@ -336,8 +359,8 @@
 	r := t.dial()
 	r.execute(1, "op", "sing")
 	r.execute(2, "op", "record")
-	r.execute(3, "recv", "17")
-	r.execute(4, "ttl", "99999999")
+	r.execute(3, "recv", "-17")
+	r.execute(4, "ttl", "1e999")
 	r.execute(5, "heap", "much")
 	r.send(1, "sing", 6, "\x00")
 	r.hear(6)
@@ -353,7 +376,7 @@
 	twice.execute(8)
 	t.asked()
 	twice.execute(8, "op", "sing")
-	twice.hear(1)
+	twice.hear(2)
 	t.asked() // nobody waits for it any more
 	r.execute(9)
 	t.asked()
@@ -373,6 +396,7 @@
 	// router: the connection ends
 	// router: the connection ends
 	// kernel: SCHED 8 look body 8
+	// router: 8 aborted
 	// router: the connection ends
 	// kernel: PREEMPT 8
 	// kernel: SCHED 9 look body 9
@@ -529,7 +553,7 @@
 	}
 	bad.hear(mostOdd - 3)
 	bad.execute(18)
-	bad.hear(1)
+	bad.hear(2)
 	t.reap(1, "fine", "one")
 	r.hear(1)
 	t.close()
@@ -546,6 +570,7 @@
 	// router: 15 aborted
 	// router: 16 aborted
 	// router: 17 aborted
+	// router: 18 pushed back
 	// router: the connection ends
 	// router: 1 ok "one" good 1
 	// served: <nil>
@@ -570,7 +595,7 @@
 	t := open(func(c *config.Config) { c.Sockets = reserve + 1 })
 	stuck := waits{end: make(chan bool)}
 	t.Server.mu.Lock()
-	t.conns[&conn{Server: t.Server, Conn: stuck, known: true, gone: make(chan struct{})}] = struct{}{}
+	t.conns[&conn{Server: t.Server, Conn: stuck, known: true, shutDown: make(chan struct{}), gone: make(chan struct{})}] = struct{}{}
 	t.Server.mu.Unlock()
 	r := t.dial()
 	r.execute(1)
@@ -582,7 +607,7 @@
 	// served: <nil>
 }
 
-// Past the memory for RPCs whose answer is owed the next are aborted, until there is room again.
+// Past the memory for RPCs whose answer is owed the next are refused, until there is room again.
 func Example_memory() {
 	t := open(func(c *config.Config) { c.Memory = heldShare * 3 * callSize / 2 })
 	r := t.dial()
@@ -597,7 +622,7 @@
 	t.close()
 	// Output:
 	// kernel: SCHED 1 look body 1
-	// router: 2 aborted
+	// router: 2 pushed back
 	// router: 1 ok "one" good 1
 	// kernel: SCHED 3 look body 3
 	// served: <nil>
