--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -195,7 +195,7 @@
 	from, okSrc := number(src)
 	came, okRecv := number(recv)
 	left, okTTL := number(ttl)
-	if len(ttl) == 0 { // the settings say whether routers tell
+	if ttl == nil { // the settings say whether routers tell
 		left, okTTL = math.Inf(1), true
 	}
 	size, okHeap := number(heap)
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -104,18 +104,16 @@
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
 }
 
-// Figures in any form that says the same, up to the bounds of the page, are read, and empty ones that may be absent are; all
-// others are not.
+// Figures in any form that says the same, up to the bounds of the page, are read; all others are not, empty ones among them.
 func Example_figures() {
 	for _, field := range [][2]string{{"recv", "1764576000123.0"}, {"recv", "1.764576000123e12"}, {"recv", "0"}, {"recv", "1e12"},
-		{"recv", "253402300799999"}, {"ttl", "4.8e2"}, {"ttl", "0"}, {"ttl", "-5"}, {"ttl", "36000000"}, {"ttl", "1e9"}, {"ttl", ""},
-		{"heap", "0.001"}, {"heap", "1999.99"}, {"src", "4.0"}, {"src", "0"}, {"src", "2147483647"}, {"crit", "0"}, {"crit", "0.999"},
-		{"crit", ""}} {
+		{"recv", "253402300799999"}, {"ttl", "4.8e2"}, {"ttl", "0"}, {"ttl", "-5"}, {"ttl", "36000000"}, {"ttl", "1e9"},
+		{"heap", "0.001"}, {"heap", "1999.99"}, {"src", "4.0"}, {"src", "0"}, {"src", "2147483647"}, {"crit", "0"}, {"crit", "0.999"}} {
 		decode(message(msgCall, "execute", 1, arguments("b", append(good[:len(good):len(good)], field[:]...)...)...))
 	}
 	for _, field := range [][2]string{{"recv", "-1"}, {"recv", "1e300"}, {"recv", "inf"}, {"recv", ""}, {"recv", "0x1p40"},
-		{"ttl", "nan"}, {"ttl", "soon"}, {"ttl", "0x10"}, {"heap", "0"}, {"heap", "-1"}, {"heap", "2000"}, {"heap", "1_0"}, {"heap", "Infinity"},
-		{"src", "4.5"}, {"src", "2147483648"}, {"src", ""}, {"crit", "1"}, {"crit", "-0.1"}, {"crit", "NaN"},
+		{"ttl", ""}, {"ttl", "nan"}, {"ttl", "soon"}, {"ttl", "0x10"}, {"heap", "0"}, {"heap", "-1"}, {"heap", "2000"}, {"heap", "1_0"}, {"heap", "Infinity"},
+		{"src", "4.5"}, {"src", "2147483648"}, {"src", ""}, {"crit", ""}, {"crit", "1"}, {"crit", "-0.1"}, {"crit", "NaN"},
 		{"call", ""}, {"call", "9b1f03aa5c7e2d4"}, {"call", "9b1f03aa5c7e2d4g"}, {"op", ""}} {
 		decode(message(msgCall, "execute", 1, arguments("b", append(good[:len(good):len(good)], field[:]...)...)...))
 	}
@@ -130,7 +128,6 @@
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for -0.005, 24.5 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 36000.000, 24.5 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 1000000.000, 24.5 KB, again false, token "", body "b"
-	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for +Inf, 24.5 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 0.001 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 1999.99 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
@@ -138,7 +135,6 @@
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 2147483647 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
 	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
-	// execute 1 checkout 9b1f03aa5c7e2d41 from 4 at 1764576000.123 for 0.480, 24.5 KB, again false, token "", body "b"
 	// unreadable 1 recv
 	// unreadable 1 recv
 	// unreadable 1 recv
@@ -147,6 +143,7 @@
 	// unreadable 1 ttl
 	// unreadable 1 ttl
 	// unreadable 1 ttl
+	// unreadable 1 ttl
 	// unreadable 1 heap
 	// unreadable 1 heap
 	// unreadable 1 heap
@@ -158,6 +155,7 @@
 	// unreadable 1 crit
 	// unreadable 1 crit
 	// unreadable 1 crit
+	// unreadable 1 crit
 	// unreadable 1 call
 	// unreadable 1 call
 	// unreadable 1 call
