--- a/logic/queue.go
+++ b/logic/queue.go
@@ -65,12 +65,12 @@
 // hopeless reports whether a queued RPC would be late even if it were started now. While half the cores are
 // idle it is started all the same, so that run times stay current and recovery is noticed.
 func (m *Module) hopeless(w *work) bool {
-	until := m.goodUntil(w)
-	if r := &m.records[w.method]; r.givenUp >= 4 {
+	until, r := m.goodUntil(w), &m.records[w.method]
+	busy := w.short > 0 || m.count[running]+m.count[orphaned] >= (m.Machine.Cores+1)/2
+	if busy && r.givenUp >= 4 {
 		until = min(until, w.arrival+r.patience)
 	}
-	return m.now > until || (w.short > 0 || m.count[running]+m.count[orphaned] >= (m.Machine.Cores+1)/2) &&
-		m.now+runMargin*m.records[w.method].late.median() > until
+	return m.now > until || busy && m.now+runMargin*r.late.median() > until
 }
 
 // runMargin: about two runs in three end within one and a half times the median. The median alone, or twice
