--- a/internal/jsonobject/jsonobject.go
+++ b/internal/jsonobject/jsonobject.go
@@ -59,6 +59,13 @@
 // Err returns the first error of this object, of what it lies in and of what lies in it; nil if there was none.
 func (o *Object) Err() error { return *o.failed }
 
+// Detached returns the same object with errors of its own, for keys whose faults do not matter to whoever reads the whole.
+func (o *Object) Detached() *Object {
+	detached := *o
+	detached.failed = new(error)
+	return &detached
+}
+
 // Has reports whether the object has a key that is not null.
 func (o *Object) Has(key string) bool { return kind(o.fields[key]) != null }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		return rpc.Settings{}, err
 	}
-	s, _ := Read(o)
+	s, _ := readServed(o)
 	readCalls(&s.Machine, o.Object("domain"))
 	readSharing(&s, o)
 	return s, o.Err()
@@ -24,7 +24,19 @@
 
 // Read reads the settings that an app server on sockets goes by, and its methods' names; the object's Err tells what is
 // wrong with them. What is left out, or null, gets the mildest meaning that keeps the rules, here or in the module.
+//
+// Routers on sockets tell no tenant and no subject of a read: faults of the settings of both do not matter, and have none of them count.
 func Read(o *jsonobject.Object) (s rpc.Settings, names []string) {
+	s, names = readServed(o)
+	shared, lenient := s, o.Detached()
+	readSharing(&shared, lenient)
+	if lenient.Err() == nil {
+		s = shared
+	}
+	return s, names
+}
+
+func readServed(o *jsonobject.Object) (s rpc.Settings, names []string) {
 	s.Methods, names = readMethods(o)
 	readMachine(&s.Machine, o.Object("domain"))
 	rules := o.Object("rules")
