--- a/review/standin/kernel.go
+++ b/review/standin/kernel.go
@@ -97,11 +97,16 @@
 	}
 }
 
-// Running returns how many runs there are now.
-func (k *Kernel) Running() int {
+// Running returns how many runs of a class there are now.
+func (k *Kernel) Running(lane string) (n int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.runs)
+	for _, r := range k.runs {
+		if r.Lane == lane {
+			n++
+		}
+	}
+	return n
 }
 
 // Runs returns a copy of all runs so far.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -41,14 +43,15 @@
 	fmt.Printf(format+"\n", args...)
 }
 
-// FreeAddress returns a loopback address with a port that is free for TCP and UDP.
+// FreeAddress returns a loopback address with a port that is free for TCP and UDP. The port is below those that the
+// system gives to outgoing connections.
 func FreeAddress() (string, error) {
-	for range 50 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", 15000+rand.IntN(17000))
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return "", err
+			continue
 		}
-		address := l.Addr().String()
 		u, err := net.ListenPacket("udp", address)
 		l.Close()
 		if err == nil {
@@ -56,7 +59,7 @@
 			return address, nil
 		}
 	}
-	return "", fmt.Errorf("no free port")
+	return "", errors.New("no free port")
 }
 
 // Roster takes reports and forgets them.
