--- a/review/standin/kernel.go
+++ b/review/standin/kernel.go
@@ -11,13 +11,11 @@
 	"time"
 )
 
-// Run is one run that the kernel was asked for.
-type Run struct {
-	UID, Lane string
-	Body      []byte
-	At, Ended time.Time // Ended is zero while it runs
-	End       string
-	timer     *time.Timer
+// run is one run that the kernel was asked for.
+type run struct {
+	lane  string
+	at    time.Time
+	timer *time.Timer
 }
 
 // Kernel is a stand-in for the process that owns the cores. Runs last as long as Duration says; they do not slow each
@@ -25,16 +23,10 @@
 type Kernel struct {
 	// Duration returns how long a run lasts and what it gives. It is called under the kernel's lock.
 	Duration func(uid, lane string, body []byte) (time.Duration, []byte)
-	// Known reports whether a request with this id came to the app server; nil knows all.
-	Known func(uid, lane string, body []byte) bool
-	// Over reports whether the request of this id is over; nil for never.
-	Over func(uid string) bool
 	// Log gets one line for each event.
 	Log func(format string, args ...any)
 	// Ended is called for each run that ends with its result; nil for none.
 	Ended func(uid, lane string, body []byte)
-	// Lost is called for each run that is lost with a link; nil for none.
-	Lost func(uid string)
 	// Cold makes BOOTED say that the kernel was starting.
 	Cold bool
 
@@ -43,8 +35,7 @@
 	link     net.Conn
 	started  time.Time
 	notices  []string
-	runs     map[string]*Run
-	All      []*Run
+	runs     map[string]*run
 	closed   bool
 }
 
@@ -54,7 +45,7 @@
 	if err != nil {
 		return err
 	}
-	k.listener, k.started, k.runs = l, time.Now(), map[string]*Run{}
+	k.listener, k.started, k.runs = l, time.Now(), map[string]*run{}
 	go k.accept(l)
 	return nil
 }
@@ -84,17 +75,7 @@
 	for _, r := range k.runs {
 		r.timer.Stop()
 	}
-	k.runs, k.notices, k.started = map[string]*Run{}, nil, time.Now()
-}
-
-// Break ends the link.
-func (k *Kernel) Break() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.link != nil {
-		k.link.Close()
-		k.link = nil
-	}
+	k.runs, k.notices, k.started = map[string]*run{}, nil, time.Now()
 }
 
 // Running returns how many runs of a class there are now.
@@ -102,24 +83,13 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, r := range k.runs {
-		if r.Lane == lane {
+		if r.lane == lane {
 			n++
 		}
 	}
 	return n
 }
 
-// Runs returns a copy of all runs so far.
-func (k *Kernel) Runs() []Run {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var all []Run
-	for _, r := range k.All {
-		all = append(all, *r)
-	}
-	return all
-}
-
 type command struct {
 	Action  string `json:"action"`
 	Pos     int    `json:"pos"`
@@ -190,34 +160,24 @@
 			conn.Write([]byte(line))
 		}
 	case "SCHED":
-		k.sched(conn, c)
+		k.sched(c)
 	case "PREEMPT":
 		if r := k.runs[c.UID]; r != nil {
 			r.timer.Stop()
 			delete(k.runs, c.UID)
-			r.Ended, r.End = time.Now(), "broken_off"
-			k.notice(reap{UID: c.UID, Code: "broken_off", WallMS: time.Since(r.At).Milliseconds()})
+			k.notice(reap{UID: c.UID, Code: "broken_off", WallMS: time.Since(r.at).Milliseconds()})
 		}
 	case "SYSINFO":
 		k.write(conn, map[string]any{"action": "INFO", "echo": c.Echo, "meters": []float64{}})
 	}
 }
 
-func (k *Kernel) sched(conn net.Conn, c command) {
-	if k.Known != nil && !k.Known(c.UID, c.Lane, c.Content) {
-		k.write(conn, map[string]any{"action": "EINVAL", "code": "SCHED", "uid": c.UID})
-		return
-	}
+func (k *Kernel) sched(c command) {
 	if k.runs[c.UID] != nil {
 		return
 	}
-	if k.Over != nil && k.Over(c.UID) {
-		k.notice(reap{UID: c.UID, Code: "late"})
-		return
-	}
 	took, result := k.Duration(c.UID, c.Lane, c.Content)
-	r := &Run{UID: c.UID, Lane: c.Lane, Body: c.Content, At: time.Now()}
-	k.All = append(k.All, r)
+	r := &run{lane: c.Lane, at: time.Now()}
 	k.runs[c.UID] = r
 	if k.Log != nil {
 		k.Log("kernel run %s %s %s", c.UID, c.Lane, fmt.Sprintf("%.40s", c.Content))
@@ -229,54 +189,12 @@
 			return
 		}
 		delete(k.runs, c.UID)
-		r.Ended, r.End = time.Now(), "fine"
 		if k.Ended != nil {
 			k.Ended(c.UID, c.Lane, c.Content)
 		}
-		k.notice(reap{UID: c.UID, Code: "fine", WallMS: time.Since(r.At).Milliseconds(), Content: result})
+		k.notice(reap{UID: c.UID, Code: "fine", WallMS: time.Since(r.at).Milliseconds(), Content: result})
 	})
 }
-
-// BreakLossy ends the link; commands that it read within the last time are lost with it.
-func (k *Kernel) BreakLossy(within time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.link == nil {
-		return
-	}
-	since := time.Now().Add(-within)
-	for uid, r := range k.runs {
-		if r.At.After(since) && r.timer.Stop() {
-			delete(k.runs, uid)
-			r.End = "lost with the link"
-			if k.Lost != nil {
-				k.Lost(uid)
-			}
-		}
-	}
-	k.link.Close()
-	k.link = nil
-}
-
-// Move lets the kernel listen on a new address. The old one accepts nothing new; closeOld ends what is open there.
-func (k *Kernel) Move() (closeOld func(), err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	old, link := k.listener, k.link
-	k.listener = l
-	old.Close()
-	go k.accept(l)
-	return func() {
-		if link != nil {
-			link.Close()
-		}
-	}, nil
-}
-
 func (k *Kernel) accept(l net.Listener) {
 	for {
 		conn, err := l.Accept()
--- a/review/standin/router.go
+++ b/review/standin/router.go
@@ -27,8 +27,6 @@
 	At     time.Time
 	Stop   bool
 	After  time.Duration
-	Before int           // of a lost try: answers on its connection before
-	Age    time.Duration // of a lost try: how long its connection stood
 }
 
 // Conn is one connection of a router.
@@ -40,9 +38,6 @@
 	draining bool
 	ended    bool
 	source   int
-	opened   time.Time
-	answered int
-	End      error // why the connection ended
 }
 
 // NewUID returns the id of a new try.
@@ -54,14 +49,14 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Conn{Conn: nc, waiting: map[int32]chan Answer{}, source: source, opened: time.Now()}
+	c := &Conn{Conn: nc, waiting: map[int32]chan Answer{}, source: source}
 	go func() {
 		rig.ReadReplies(nc, c)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.ended = true
 		for seq, done := range c.waiting {
-			done <- Answer{Kind: "lost", At: time.Now(), Before: c.answered, Age: time.Since(c.opened)}
+			done <- Answer{Kind: "lost", At: time.Now()}
 			delete(c.waiting, seq)
 		}
 		nc.Close()
@@ -76,13 +71,6 @@
 	return !c.ended && !c.draining && len(c.waiting) < 32
 }
 
-// Open returns how many requests are open.
-func (c *Conn) Open() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.waiting)
-}
-
 // Frame returns the bytes of a try.
 func Frame(seq int32, source int, r Request, recv time.Time) []byte {
 	fields := []rig.Field{{Key: "op", Value: r.Method}, {Key: "call", Value: r.UID},
@@ -113,19 +101,10 @@
 	return c.seq, done
 }
 
-// Interrupt tells that the router no longer waits for a try.
-func (c *Conn) Interrupt(target int32) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.seq++
-	c.Conn.Write(rig.InterruptFrame(c.seq, target))
-}
-
 func (c *Conn) finish(seq int32, a Answer) {
 	c.mu.Lock()
 	done := c.waiting[seq]
 	delete(c.waiting, seq)
-	c.answered++
 	closes := c.draining && len(c.waiting) == 0
 	c.mu.Unlock()
 	if done != nil {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -129,23 +130,22 @@
 	if s.Sockets > 0 {
 		run = "ulimit -n " + strconv.Itoa(s.Sockets) + " && " + run
 	}
-	s.cmd = exec.Command("/bin/sh", "-c", run)
-	s.cmd.Dir = root
-	s.cmd.Env = append(os.Environ(), "GW_NAME="+s.Name, "GW_LISTEN="+s.Address,
+	cmd := exec.Command("/bin/sh", "-c", run)
+	cmd.Dir = root
+	cmd.Env = append(os.Environ(), "GW_NAME="+s.Name, "GW_LISTEN="+s.Address,
 		"GW_CONFIG="+filepath.Join(s.Directory, s.Name+".json"))
-	s.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if s.log == nil {
 		if s.log, err = os.Create(filepath.Join(s.Directory, s.Name+".log")); err != nil {
 			return err
 		}
 	}
-	s.cmd.Stdout, s.cmd.Stderr = s.log, s.log
-	if err := s.cmd.Start(); err != nil {
+	cmd.Stdout, cmd.Stderr = s.log, s.log
+	if err := cmd.Start(); err != nil {
 		return err
 	}
 	done := make(chan struct{})
-	s.done = done
-	cmd := s.cmd
+	s.cmd, s.done = cmd, done
 	go func() {
 		cmd.Wait()
 		s.State = cmd.ProcessState
@@ -169,27 +169,12 @@
 }
 
 // Ready waits until a health check says that the app server is good.
-func (s *Server) Ready(within time.Duration) error {
-	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		c, err := Dial(s.Address, 1)
-		if err != nil {
-			continue
-		}
-		select {
-		case a := <-c.Check():
-			c.Conn.Close()
-			if a.Kind == "good" {
-				return nil
-			}
-		case <-time.After(time.Second):
-			c.Conn.Close()
-		}
-	}
-	return fmt.Errorf("%s is not ready: %s", s.Name, s.Log())
-}
+func (s *Server) Ready(within time.Duration) error { return s.await(within, "good") }
+
+// Answers waits until the app server answers a health check, whatever it says.
+func (s *Server) Answers(within time.Duration) error { return s.await(within, "good", "bad") }
 
-// ReadyOrCold waits until the app server answers a health check, whatever it says.
-func (s *Server) ReadyOrCold(within time.Duration) error {
+func (s *Server) await(within time.Duration, answers ...string) error {
 	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		c, err := Dial(s.Address, 1)
 		if err != nil {
@@ -198,14 +183,14 @@
 		select {
 		case a := <-c.Check():
 			c.Conn.Close()
-			if a.Kind == "good" || a.Kind == "bad" {
+			if slices.Contains(answers, a.Kind) {
 				return nil
 			}
 		case <-time.After(time.Second):
 			c.Conn.Close()
 		}
 	}
-	return fmt.Errorf("%s does not answer: %s", s.Name, s.Log())
+	return fmt.Errorf("%s does not answer %v: %s", s.Name, answers, s.Log())
 }
 
 // Log returns the program's log.
