--- a/review/standin2/standin.go
+++ b/review/standin2/standin.go
@@ -259,6 +259,16 @@
 // Signal sends a signal to the process.
 func (s *Server) Signal(signal os.Signal) { s.cmd.Process.Signal(signal) }
 
+// WaitExit waits until the process has ended by itself, and reports whether it did.
+func (s *Server) WaitExit(limit time.Duration) bool {
+	select {
+	case <-s.exited:
+		return true
+	case <-time.After(limit):
+		return false
+	}
+}
+
 // Kill kills the process and waits for its end.
 func (s *Server) Kill() {
 	if s.cmd != nil && s.cmd.Process != nil {
